--- a/router.go
+++ b/router.go
@@ -1,6 +1,6 @@
 // Package deckgw decides, for a scheduler in front of workers that keep only some of many functions loaded,
 // where each request goes, which requests are refused, and when an attempt is given up for another.
-// Every decision, constant and table is in this file; docs/design.md tells the design and the departures.
+// Every decision, constant and table is in this file; departures from the design are marked "A departure".
 package deckgw
 
 import (
