--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-package deckgw
+package calicohill
 
 import "time"
 
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -1,4 +1,4 @@
-// Command drill lets the bench drive deckgw: it hosts one Router for each instance that the wire names and
+// Command drill lets the bench drive calicohill: it hosts one Router for each instance that the wire names and
 // translates between the wire's lines and the Router's events and actions.
 package main
 
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"deckgw"
-	"deckgw/internal/wire"
+	"calicohill"
+	"calicohill/internal/wire"
 )
 
 func main() {
@@ -24,7 +24,7 @@
 	instance int
 	start    *wire.Start
 	stopped  bool
-	events   []deckgw.Event
+	events   []calicohill.Event
 }
 
 // turns groups the items of a batch by instance, in the order of first appearance. Events that came before
@@ -53,7 +53,7 @@
 
 func run(in io.Reader, out io.Writer) error {
 	dec, enc := wire.NewDecoder(in), wire.NewEncoder(out)
-	routers := map[int]*deckgw.Router{}
+	routers := map[int]*calicohill.Router{}
 	for {
 		batch, err := dec.Next()
 		if errors.Is(err, io.EOF) {
@@ -84,7 +84,7 @@
 }
 
 // play hands an instance its events. A panic in the decisions comes back as an error.
-func play(routers map[int]*deckgw.Router, t *turn, b *wire.Batch) (actions []deckgw.Action, err error) {
+func play(routers map[int]*calicohill.Router, t *turn, b *wire.Batch) (actions []calicohill.Action, err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			err = fmt.Errorf("panic: %v", p)
@@ -94,7 +94,7 @@
 		delete(routers, t.instance)
 	}
 	if t.start != nil {
-		if routers[t.instance], err = deckgw.New(t.start.Settings, t.start.Seed); err != nil {
+		if routers[t.instance], err = calicohill.New(t.start.Settings, t.start.Seed); err != nil {
 			delete(routers, t.instance)
 			return nil, err
 		}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"deckgw"
+	"calicohill"
 )
 
 // bootInfo holds the keys of the settings object that the decisions use. Keys that are not named here are
@@ -78,21 +78,21 @@
 }
 
 var (
-	effects = map[string]deckgw.Effect{
-		"read_like": deckgw.Safe, "idempotency_key": deckgw.Keyed, "non_idempotent": deckgw.Unsafe,
+	effects = map[string]calicohill.Effect{
+		"read_like": calicohill.Safe, "idempotency_key": calicohill.Keyed, "non_idempotent": calicohill.Unsafe,
 	}
-	scopes = map[string]deckgw.Scope{
-		"": deckgw.ScopeAll, "all": deckgw.ScopeAll, "zone": deckgw.ScopeZone, "cell": deckgw.ScopeCell,
+	scopes = map[string]calicohill.Scope{
+		"": calicohill.ScopeAll, "all": calicohill.ScopeAll, "zone": calicohill.ScopeZone, "cell": calicohill.ScopeCell,
 	}
 )
 
 // parseSettings reads the settings object of a power_on.
-func parseSettings(text string) (deckgw.Settings, error) {
+func parseSettings(text string) (calicohill.Settings, error) {
 	var b bootInfo
 	if err := json.Unmarshal([]byte(text), &b); err != nil {
-		return deckgw.Settings{}, fmt.Errorf("bootInfo: %w", err)
+		return calicohill.Settings{}, fmt.Errorf("bootInfo: %w", err)
 	}
-	s := deckgw.Settings{
+	s := calicohill.Settings{
 		Schedulers: b.Balancers, Rank: b.Rank, Zone: b.AZ, Tick: duration(b.TickMs),
 		OverShareWorth: b.OverShareWorth,
 		MaxAttempts:    b.Ceilings.AttemptsCap, MaxOpen: b.Ceilings.OpenCap,
@@ -110,7 +110,7 @@
 		CanLoad: b.FamilyInfo.MayLoad, LoadsFree: b.FamilyInfo.LoadsAnyway,
 		LoadsPerCall: b.FamilyInfo.LoadRatio, LoadWindow: duration(b.FamilyInfo.LoadWindowMs),
 		LoadTimeout: duration(b.FamilyInfo.AnswerWithinMs), WorkerMemory: b.FamilyInfo.RAMMbByKind,
-		Fees: deckgw.Fees{Waste: b.Fees.Waste, LateFail: b.Fees.LateFail, Fetch: b.Fees.Origin,
+		Fees: calicohill.Fees{Waste: b.Fees.Waste, LateFail: b.Fees.LateFail, Fetch: b.Fees.Origin,
 			Cross: b.Fees.CrossZone, Probe: b.Fees.Probe, Idle: b.FamilyInfo.IdlePrice},
 		WeightsTold:   b.Weights != "" && b.Weights != "silent",
 		ClientsRepeat: b.Callers.MarksRetry,
@@ -124,13 +124,13 @@
 		if !ok {
 			return s, fmt.Errorf("bootInfo: class %d: unknown dedupScope %q", i, c.DedupScope)
 		}
-		s.Classes = append(s.Classes, deckgw.Class{
+		s.Classes = append(s.Classes, calicohill.Class{
 			Aim: duration(c.AimMs), Deadline: duration(c.HardLimitMs), Worth: c.Worth, LateWorth: c.LateWorth,
 			Effect: effect, Scope: scope, MemorySpan: duration(c.MemorySpanMs), Stream: c.Stream,
 		})
 	}
 	for _, t := range b.Tenants {
-		s.Tenants = append(s.Tenants, deckgw.Tenant{Share: t.Share, PerSecond: t.QuotaPerS})
+		s.Tenants = append(s.Tenants, calicohill.Tenant{Share: t.Share, PerSecond: t.QuotaPerS})
 	}
 	return s, nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,5 +1,5 @@
 // Package wire reads and writes the lines of the bench's wire. It translates them to the events and actions
-// of package deckgw and back, and decides nothing.
+// of package calicohill and back, and decides nothing.
 package wire
 
 import (
@@ -13,13 +13,13 @@
 	"strings"
 	"time"
 
-	"deckgw"
+	"calicohill"
 )
 
 // Start is the settings of an instance that begins its life.
 type Start struct {
 	Seed     uint64
-	Settings deckgw.Settings
+	Settings calicohill.Settings
 }
 
 // Item is one event of a batch. Exactly one of Start, Stop and Event is set.
@@ -27,7 +27,7 @@
 	Instance int
 	Start    *Start
 	Stop     bool
-	Event    deckgw.Event
+	Event    calicohill.Event
 }
 
 // Batch is everything that happens at one moment.
@@ -150,42 +150,42 @@
 	case "view":
 		return d.view(f)
 	case "call":
-		r := deckgw.Request{ID: f.text(), Class: f.integer(), Tenant: f.optInteger(0), Function: f.text()}
+		r := calicohill.Request{ID: f.text(), Class: f.integer(), Tenant: f.optInteger(0), Function: f.text()}
 		r.TimeLeft, r.Work = f.millis(), f.optMillis()
 		r.Memory, r.Lanes, r.LoadTime = f.optNumber(0), f.optInteger(0), f.optMillis()
 		r.Repeat = f.optInteger(0)&2 != 0
 		it.Event = r
 	case "first":
-		it.Event = deckgw.StreamStart{ID: f.text(), Attempt: f.integer(), Worker: f.text(), Latency: f.millis()}
+		it.Event = calicohill.StreamStart{ID: f.text(), Attempt: f.integer(), Worker: f.text(), Latency: f.millis()}
 	case "outcome":
-		e := deckgw.AttemptEnd{ID: f.text(), Closed: f.boolean(), Company: -1}
+		e := calicohill.AttemptEnd{ID: f.text(), Closed: f.boolean(), Company: -1}
 		info := f.optInteger(0)
 		e.Latency, e.Worker, e.Attempt = f.optMillis(), f.text(), f.integer()
 		e.Outcome, e.Report = f.outcome(), f.report()
 		if info < 0 {
 			f.fail("info: negative")
 		}
-		if w := deckgw.Warmth(info % 8); w <= deckgw.LoadFailed {
+		if w := calicohill.Warmth(info % 8); w <= calicohill.LoadFailed {
 			e.Warmth = w
 		}
-		if e.Outcome == deckgw.Served || e.Outcome == deckgw.Shed {
+		if e.Outcome == calicohill.Served || e.Outcome == calicohill.Shed {
 			e.Company = info / 8
 		}
 		it.Event = e
 	case "expired":
-		it.Event = deckgw.Abandoned{ID: f.text()}
+		it.Event = calicohill.Abandoned{ID: f.text()}
 	case "reminder":
-		it.Event = deckgw.TimerFired{Token: f.unsigned()}
+		it.Event = calicohill.TimerFired{Token: f.unsigned()}
 	case "sampled":
-		e := deckgw.ProbeEnd{Outcome: f.outcome(), Worker: f.text()}
+		e := calicohill.ProbeEnd{Outcome: f.outcome(), Worker: f.text()}
 		e.Latency, e.Report = f.optMillis(), f.report()
 		it.Event = e
 	case "brought_up":
-		e := deckgw.LoadEnd{Worker: f.text(), Latency: f.optMillis(), Copies: f.optInteger(0)}
+		e := calicohill.LoadEnd{Worker: f.text(), Latency: f.optMillis(), Copies: f.optInteger(0)}
 		e.Function, e.Outcome = f.text(), f.outcome()
 		it.Event = e
 	case "datagram":
-		e := deckgw.PeerMessage{From: f.integer()}
+		e := calicohill.PeerMessage{From: f.integer()}
 		if t := f.text(); t != "-" {
 			data, err := hex.DecodeString(t)
 			if err != nil {
@@ -205,7 +205,7 @@
 	kind := f.integer()
 	f.integer() // the list's version
 	n := f.integer()
-	if kind < 0 || kind > int(deckgw.ListFailed) {
+	if kind < 0 || kind > int(calicohill.ListFailed) {
 		f.fail(fmt.Sprintf("form %d: expected 0 to 3", kind))
 	}
 	if n < 0 {
@@ -214,7 +214,7 @@
 	if err := f.end(); err != nil {
 		return Item{}, err
 	}
-	list := deckgw.WorkerList{Kind: deckgw.ListKind(kind)}
+	list := calicohill.WorkerList{Kind: calicohill.ListKind(kind)}
 	for range n {
 		text, err := d.read()
 		if err != nil {
@@ -224,11 +224,11 @@
 		if m.name != "m" {
 			m.fail("expected a list entry m")
 		}
-		w := deckgw.Worker{Weight: m.optNumber(1)}
+		w := calicohill.Worker{Weight: m.optNumber(1)}
 		state := m.integer()
 		w.ID, w.Kind, w.Zone, w.Cell = m.text(), m.optInteger(0), m.optInteger(0), m.optInteger(0)
-		w.State, w.Started = deckgw.WorkerState(state), m.optMillis()
-		if state < 0 || state > int(deckgw.Draining) {
+		w.State, w.Started = calicohill.WorkerState(state), m.optMillis()
+		if state < 0 || state > int(calicohill.Draining) {
 			m.fail(fmt.Sprintf("readiness %d: expected 0 to 2", state))
 		}
 		if err := m.end(); err != nil {
@@ -347,13 +347,13 @@
 	return v == "1"
 }
 
-var outcomes = map[string]deckgw.Outcome{
-	"delivered": deckgw.Served, "app_error": deckgw.Errored, "shed": deckgw.Shed,
-	"expired": deckgw.TimedOut, "dial_failed": deckgw.Unreached, "dropped": deckgw.Reset,
-	"revoked": deckgw.Cancelled, "unused": deckgw.Unsent, "empty": deckgw.NotLoaded,
+var outcomes = map[string]calicohill.Outcome{
+	"delivered": calicohill.Served, "app_error": calicohill.Errored, "shed": calicohill.Shed,
+	"expired": calicohill.TimedOut, "dial_failed": calicohill.Unreached, "dropped": calicohill.Reset,
+	"revoked": calicohill.Cancelled, "unused": calicohill.Unsent, "empty": calicohill.NotLoaded,
 }
 
-func (f *fields) outcome() deckgw.Outcome {
+func (f *fields) outcome() calicohill.Outcome {
 	v := f.next()
 	o, ok := outcomes[v]
 	if !ok {
@@ -362,12 +362,12 @@
 	return o
 }
 
-func (f *fields) report() *deckgw.Report {
+func (f *fields) report() *calicohill.Report {
 	v := f.next()
 	if v == "-" || v == "" {
 		return nil
 	}
-	r := &deckgw.Report{InFlight: -1, Queue: -1, Util: -1, MemoryHeld: -1, Loads: -1}
+	r := &calicohill.Report{InFlight: -1, Queue: -1, Util: -1, MemoryHeld: -1, Loads: -1}
 	for pair := range strings.SplitSeq(v, ",") {
 		name, value, ok := strings.Cut(pair, ":")
 		if !ok {
@@ -413,31 +413,31 @@
 }
 
 // Action writes one action.
-func (e *Encoder) Action(a deckgw.Action) error {
+func (e *Encoder) Action(a calicohill.Action) error {
 	switch a := a.(type) {
-	case deckgw.Send:
+	case calicohill.Send:
 		e.line("try", a.ID, millis(a.Timeout), a.Worker)
-	case deckgw.Cancel:
+	case calicohill.Cancel:
 		e.line("recall", a.ID, strconv.Itoa(a.Attempt))
-	case deckgw.Refuse:
+	case calicohill.Refuse:
 		e.line("say_no", a.ID, millis(a.RetryAfter))
-	case deckgw.Fail:
+	case calicohill.Fail:
 		e.line("surrender", a.ID)
-	case deckgw.SetTimer:
+	case calicohill.SetTimer:
 		e.line("arm", millis(a.After), strconv.FormatUint(a.Token, 10))
-	case deckgw.Probe:
+	case calicohill.Probe:
 		e.line("ping", a.Worker)
-	case deckgw.Load:
+	case calicohill.Load:
 		e.line("pin_up", a.Worker, a.Function, strconv.Itoa(a.Copies))
-	case deckgw.Unload:
+	case calicohill.Unload:
 		e.line("unmount", a.Worker, a.Function)
-	case deckgw.Subscribe:
+	case calicohill.Subscribe:
 		on := "0"
 		if a.On {
 			on = "1"
 		}
 		e.line("observe", on)
-	case deckgw.FetchList:
+	case calicohill.FetchList:
 		e.line("resolve")
 	default:
 		return fmt.Errorf("wire: no message for action %T", a)
--- a/router.go
+++ b/router.go
@@ -1,7 +1,7 @@
-// Package deckgw decides, for a scheduler in front of workers that keep only some of many functions loaded,
-// where each request goes, which requests are refused, and when an attempt is given up for another.
-// Every decision, constant and table is in this file; departures from the design are marked "A departure".
-package deckgw
+// Package calicohill decides, for a scheduler in front of workers that keep only some of many functions
+// loaded, where each request goes, which requests are refused, and when an attempt is given up for another.
+// Every decision, constant and table is in this file; departures are marked "A departure".
+package calicohill
 
 import (
 	"cmp"
@@ -145,17 +145,17 @@
 // New returns a Router for these settings. All its randomness comes from the seed.
 func New(s Settings, seed uint64) (*Router, error) {
 	if len(s.Classes) == 0 || s.Schedulers < 1 || s.MaxAttempts < 1 {
-		return nil, errors.New("deckgw: at least 1 class, 1 scheduler and 1 attempt are needed")
+		return nil, errors.New("calicohill: at least 1 class, 1 scheduler and 1 attempt are needed")
 	}
 	least := s.Classes[0].Aim
 	for i, c := range s.Classes {
 		if c.Aim <= 0 || c.Deadline <= 0 {
-			return nil, fmt.Errorf("deckgw: class %d: aim and deadline must be above 0", i)
+			return nil, fmt.Errorf("calicohill: class %d: aim and deadline must be above 0", i)
 		}
 		least = min(least, c.Aim)
 	}
 	if s.ColdShare < 0 || s.LoadsPerCall < 0 || s.LoadsFree < 0 || s.TipMultiple < 0 {
-		return nil, errors.New("deckgw: settings below 0")
+		return nil, errors.New("calicohill: settings below 0")
 	}
 	s.KeepAlive = cmp.Or(max(s.KeepAlive, 0), keepAlive)
 	return &Router{set: s, rng: rand.New(rand.NewPCG(seed, 0)), leastAim: least.Seconds(), version: 1,
