--- /dev/null
+++ b/cmd/calicohill/main.go
@@ -0,0 +1,116 @@
+// Command calicohill is the scheduler: it takes requests from clients, has the decision module decide where
+// each goes, and passes them on to the node agents that the bulletin lists.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"calicohill"
+	"calicohill/internal/agent"
+	"calicohill/internal/buffer"
+	"calicohill/internal/bulletin"
+	"calicohill/internal/config"
+	"calicohill/internal/deadline"
+	"calicohill/internal/dispatch"
+	"calicohill/internal/fastcgi"
+	"calicohill/internal/loop"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// drainFor is how long after SIGTERM requests still come: the platform turns clients away meanwhile.
+	drainFor = 700 * time.Millisecond
+	// flushFor is how long the last answers may take to leave.
+	flushFor = 50 * time.Millisecond
+	// spareSockets are kept for the listener, the bulletin, dials under way and the runtime.
+	spareSockets = 64
+)
+
+func main() {
+	path := flag.String("config", os.Getenv("ROUTER_CONFIG"), "configuration `file` (ROUTER_CONFIG)")
+	name := flag.String("name", os.Getenv("ROUTER_NAME"), "`name` of this scheduler (ROUTER_NAME)")
+	listen := flag.String("listen", os.Getenv("ROUTER_LISTEN"), "`address` for clients (ROUTER_LISTEN)")
+	flag.Parse()
+	log := logrus.New()
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
+		TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	if err := run(log, *path, *name, *listen); err != nil {
+		fmt.Fprintln(os.Stderr, "calicohill:", err)
+		os.Exit(1)
+	}
+}
+
+func run(log *logrus.Logger, path, name, listen string) error {
+	if path == "" {
+		return errors.New("no configuration: set ROUTER_CONFIG or -config")
+	}
+	cfg, err := config.Read(path, name, listen)
+	if err != nil {
+		return err
+	}
+	router, err := calicohill.New(cfg.Site.Settings, cfg.Seed)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	runtime.GOMAXPROCS(1) // the machine has one core
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+
+	l := loop.New()
+	l.Logger = log
+	clients := cfg.Sockets / 3
+	// A third of the memory may go into what is read and not answered yet.
+	pool := buffer.NewPool(cfg.MemoryMB << 20 / 3 / buffer.Size)
+	d := dispatch.New(l, router, pool, cfg.Site.MaxOpen, log)
+	agents := agent.New(l, d, agent.Options{Classes: cfg.Site.ClassNames, Streams: cfg.Site.Streams,
+		IdleClose: cfg.Site.IdleClose, ConnectTimeout: cfg.Site.ConnectTimeout,
+		MaxConns: cfg.Sockets - clients - spareSockets}, log)
+	d.Use(agents)
+	server := fastcgi.New(d, pool, &cfg.Site, clients, log)
+	watch := bulletin.New(l, cfg.Bulletin, cfg.Site.Zones, cfg.Site.Kinds, d.List, log)
+	l.Accept = server.Accept
+	var bootErr error
+	l.Boot = func() {
+		if bootErr = watch.Start(cfg.Known); bootErr != nil {
+			go l.Stop()
+			return
+		}
+		go drainOnSignal(l, server, log)
+		log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen}).Info("scheduler started")
+	}
+	if err := l.Run(cfg.Listen); err != nil {
+		return err
+	}
+	if bootErr != nil {
+		return fmt.Errorf("configuration %s: %w", path, bootErr)
+	}
+	log.Info("scheduler ended")
+	return nil
+}
+
+// drainOnSignal waits for SIGTERM and stops the loop once requests have ceased to come and all are answered.
+func drainOnSignal(l *loop.Loop, server *fastcgi.Server, log *logrus.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	s := <-signals
+	l.Post(func() {
+		log.WithField("signal", s.String()).Info("draining")
+		wait := &deadline.Entry{}
+		wait.Fire = func() {
+			if server.Streams() > 0 {
+				l.At(wait, l.Now()+flushFor)
+				return
+			}
+			go l.Stop()
+		}
+		l.At(wait, l.Now()+drainFor)
+	})
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,494 @@
+// Package agent reaches the node agents: it keeps connections to them, writes requests and probes, and reads
+// their answers.
+package agent
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"strconv"
+	"time"
+
+	"calicohill"
+	"calicohill/internal/deadline"
+	"calicohill/internal/dispatch"
+	"calicohill/internal/loop"
+	"calicohill/internal/slot"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/sirupsen/logrus"
+)
+
+var crlf = []byte("\r\n")
+
+const (
+	// idleMargin is kept from the time after which an agent closes an idle connection: a request written just
+	// then would meet the close, and nobody could tell whether it ran.
+	idleMargin = 2 * time.Second
+	// silence is how long a connection may answer nothing, with something out that was written before, until
+	// new requests go on another: a machine that was cut off gives no sign on the old one.
+	silence = time.Second
+	// perWorker is how many connections to one worker may be open, silent ones included.
+	perWorker = 6
+	// crossing is how long after a request was given up its answer may still come.
+	crossing = time.Second
+	// backlog is how much may wait unsent on a connection until the agent counts as not reading.
+	backlog = 256 << 10
+)
+
+// Sink is told what becomes of attempts and probes.
+type Sink interface {
+	Ended(ref slot.Ref, e dispatch.End)
+	Probed(worker string, took time.Duration, e dispatch.End)
+}
+
+// Loop is what a Pool needs of the event loop.
+type Loop interface {
+	dispatch.Loop
+	Dial(addr string, timeout time.Duration, p loop.Peer, failed func(error))
+}
+
+// Options are the figures that a Pool works with.
+type Options struct {
+	Classes        []string // names, by class number
+	Streams        int      // requests that a connection carries at a time
+	IdleClose      time.Duration
+	ConnectTimeout time.Duration
+	MaxConns       int // connections to all workers
+}
+
+// Pool keeps the connections to all workers. It is a dispatch.Workers.
+type Pool struct {
+	loop    Loop
+	sink    Sink
+	opt     Options
+	log     logrus.FieldLogger
+	workers map[string]*worker
+	sent    map[slot.Ref]*job
+	conns   slot.Table[*conn]
+	dialing int
+	probes  uint64
+	scratch []byte
+}
+
+// worker is a process at an address; a new uid or a new start makes a new one.
+type worker struct {
+	id, addr string
+	state    calicohill.WorkerState
+	started  time.Duration
+	conns    []*conn
+	waiting  []*job // for a connection
+	dialing  int
+}
+
+// job is an attempt or a probe.
+type job struct {
+	dispatch.Attempt
+	w       *worker
+	c       *conn // nil while it waits for one
+	probe   bool
+	written time.Duration
+	late    deadline.Entry // of a probe; those of attempts are the dispatcher's
+}
+
+// conn is a connection to a worker. It is its loop.Peer.
+type conn struct {
+	ref     slot.Ref
+	pool    *Pool
+	w       *worker
+	c       gnet.Conn                // nil until it is up and once it is gone
+	out     map[string]*job          // by request id
+	halted  map[string]time.Duration // when a request was given up: an answer may have crossed that
+	written time.Duration            // when the last request or probe was
+	heard   time.Duration            // when something last came
+	retired bool                     // gets nothing new
+	idle    deadline.Entry
+}
+
+// New returns a Pool without workers.
+func New(l Loop, s Sink, o Options, log logrus.FieldLogger) *Pool {
+	return &Pool{loop: l, sink: s, opt: o, log: log, workers: map[string]*worker{}, sent: map[slot.Ref]*job{}}
+}
+
+// Follow takes in the list of workers.
+func (p *Pool) Follow(r dispatch.Roster) {
+	seen := map[string]bool{}
+	for _, e := range r.Entries {
+		seen[e.ID] = true
+		w := p.workers[e.ID]
+		if w != nil && e.State == calicohill.Gone {
+			p.drop(w)
+			continue
+		}
+		if w != nil && (e.Addr != w.addr || e.Started != w.started) {
+			// What runs there now knows nothing of the old connections: what is out on them has died.
+			p.drop(w)
+			w = nil
+		}
+		if w == nil && e.State != calicohill.Gone {
+			w = &worker{id: e.ID, addr: e.Addr, started: e.Started}
+			p.workers[e.ID] = w
+		}
+		if w != nil {
+			if w.state = e.State; w.state != calicohill.Ready {
+				p.failWaiting(w, calicohill.Unsent)
+			}
+		}
+	}
+	if r.Full {
+		for id, w := range p.workers {
+			if !seen[id] {
+				p.drop(w)
+			}
+		}
+	}
+}
+
+// drop forgets a worker that is gone and closes its connections.
+func (p *Pool) drop(w *worker) {
+	w.state = calicohill.Gone
+	delete(p.workers, w.id)
+	p.failWaiting(w, calicohill.Unsent)
+	for _, c := range append([]*conn(nil), w.conns...) {
+		c.close()
+	}
+}
+
+func (p *Pool) failWaiting(w *worker, o calicohill.Outcome) {
+	waiting := w.waiting
+	w.waiting = nil
+	for _, j := range waiting {
+		p.finish(j, dispatch.End{Outcome: o, Company: -1})
+	}
+}
+
+// finish reports how a job ended.
+func (p *Pool) finish(j *job, e dispatch.End) {
+	if j.probe {
+		p.loop.Drop(&j.late)
+		p.sink.Probed(j.Worker, p.loop.Now()-j.written, e)
+		return
+	}
+	delete(p.sent, j.Ref)
+	p.sink.Ended(j.Ref, e)
+}
+
+// Send writes an attempt, or has it wait for a connection.
+func (p *Pool) Send(a dispatch.Attempt) {
+	j := &job{Attempt: a, w: p.workers[a.Worker]}
+	p.sent[a.Ref] = j
+	p.start(j)
+}
+
+// Probe asks a worker for its load report.
+func (p *Pool) Probe(id string) {
+	p.probes++
+	j := &job{Attempt: dispatch.Attempt{Worker: id, ID: "p" + strconv.FormatUint(p.probes, 10)},
+		w: p.workers[id], probe: true, written: p.loop.Now()}
+	j.late.Fire = func() {
+		p.forget(j)
+		p.finish(j, dispatch.End{Outcome: calicohill.TimedOut, Company: -1})
+	}
+	p.loop.At(&j.late, p.loop.Now()+p.opt.ConnectTimeout)
+	p.start(j)
+}
+
+func (p *Pool) start(j *job) {
+	w := j.w
+	if w == nil || w.state != calicohill.Ready {
+		p.finish(j, dispatch.End{Outcome: calicohill.Unsent, Company: -1})
+		return
+	}
+	if c := p.pick(j); c != nil {
+		c.write(j)
+		return
+	}
+	if len(w.conns)+w.dialing >= perWorker || p.conns.Len()+p.dialing >= p.opt.MaxConns {
+		if w.dialing == 0 && !p.evict(w) {
+			p.finish(j, dispatch.End{Outcome: calicohill.Unreached, Company: -1})
+			return
+		}
+	}
+	w.waiting = append(w.waiting, j)
+	if (len(w.waiting)-1)/p.opt.Streams >= w.dialing {
+		p.dial(w)
+	}
+}
+
+// pick chooses a connection that may carry the job: the one with the least out.
+func (p *Pool) pick(j *job) (best *conn) {
+	now := p.loop.Now()
+	for _, c := range j.w.conns {
+		// Two attempts of one request on a connection could not be told apart, and one that was given up may
+		// yet be answered there.
+		_, taken := c.out[j.ID]
+		if at, ok := c.halted[j.ID]; taken || ok && now-at < crossing || c.retired || len(c.out) >= p.opt.Streams || c.silent(now) {
+			continue
+		}
+		if best == nil || len(c.out) < len(best.out) {
+			best = c
+		}
+	}
+	return best
+}
+
+// silent reports whether a connection has answered nothing for long, though something is out.
+func (c *conn) silent(now time.Duration) bool {
+	for _, j := range c.out {
+		if j.written > c.heard && now-j.written > silence {
+			return true
+		}
+	}
+	return false
+}
+
+// evict makes room for a dial by closing a worker's connection that nobody waits on any more.
+func (p *Pool) evict(w *worker) bool {
+	for _, c := range w.conns {
+		if len(c.out) == 0 {
+			c.close()
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) dial(w *worker) {
+	w.dialing++
+	p.dialing++
+	c := &conn{pool: p, w: w, out: map[string]*job{}, halted: map[string]time.Duration{}}
+	p.loop.Dial(w.addr, p.opt.ConnectTimeout, c, func(err error) {
+		w.dialing--
+		p.dialing--
+		p.log.WithError(err).WithField("worker", w.id).Warn("agent not reached")
+		if w.dialing == 0 {
+			p.failWaiting(w, calicohill.Unreached)
+		}
+	})
+}
+
+// forget takes a job out of whatever holds it and reports whether any of it was written.
+func (p *Pool) forget(j *job) bool {
+	if j.c != nil {
+		j.c.giveUp(j)
+		return true
+	}
+	for i, other := range j.w.waiting {
+		if other == j {
+			j.w.waiting = append(j.w.waiting[:i:i], j.w.waiting[i+1:]...)
+			break
+		}
+	}
+	return false
+}
+
+// giveUp takes a job off a connection and remembers its id for as long as an answer may be on its way.
+func (c *conn) giveUp(j *job) {
+	delete(c.out, j.ID)
+	now := c.pool.loop.Now()
+	if len(c.halted) >= c.pool.opt.Streams {
+		maps.DeleteFunc(c.halted, func(_ string, at time.Duration) bool { return now-at >= crossing })
+	}
+	c.halted[j.ID] = now
+}
+
+// Halt gives an attempt up; it is not reported any more.
+func (p *Pool) Halt(ref slot.Ref) (written bool) {
+	j := p.sent[ref]
+	if j == nil {
+		return false
+	}
+	delete(p.sent, ref)
+	c := j.c
+	if !p.forget(j) {
+		return false
+	}
+	if now := p.loop.Now(); c.heard < j.written && now-j.written > silence {
+		c.retire("silent")
+	}
+	if c.c != nil {
+		p.scratch = append(append(append(p.scratch[:0], "halt "...), j.ID...), crlf...)
+		c.send(p.scratch)
+	}
+	c.closeIfSpent()
+	return true
+}
+
+// ---- a connection ----
+
+// Open takes over a connection that is up.
+func (c *conn) Open(gc gnet.Conn) {
+	p, w := c.pool, c.w
+	w.dialing--
+	p.dialing--
+	c.c = gc
+	c.heard = p.loop.Now()
+	c.ref = p.conns.Put(c)
+	w.conns = append(w.conns, c)
+	c.idle.Fire = c.idled
+	p.loop.At(&c.idle, p.loop.Now()+p.opt.IdleClose-idleMargin)
+	if w.state == calicohill.Gone {
+		c.close()
+		return
+	}
+	waiting := w.waiting
+	w.waiting = nil
+	for i, j := range waiting {
+		if pick := p.pick(j); pick != nil {
+			pick.write(j)
+		} else {
+			w.waiting = append(w.waiting, waiting[i])
+		}
+	}
+	if len(w.waiting) > 0 && w.dialing == 0 {
+		p.dial(w)
+	}
+}
+
+// idled closes a connection on which nothing has gone for long.
+func (c *conn) idled() {
+	last, limit := max(c.written, c.heard), c.pool.opt.IdleClose-idleMargin
+	if now := c.pool.loop.Now(); now-last < limit || len(c.out) > 0 {
+		c.pool.loop.At(&c.idle, max(last+limit, now+limit/8))
+		return
+	}
+	c.close()
+}
+
+// write sends a job. From here on it may have run.
+func (c *conn) write(j *job) {
+	p := c.pool
+	j.c, j.written = c, p.loop.Now()
+	c.written = j.written
+	c.out[j.ID] = j
+	b := p.scratch[:0]
+	if j.probe {
+		b = append(append(append(b, "stat "...), j.ID...), crlf...)
+	} else {
+		b = appendGo(b, &j.Attempt, p.opt.Classes[j.Class])
+	}
+	p.scratch = b
+	c.send(b)
+}
+
+// appendGo adds the command that begins an attempt.
+func appendGo(b []byte, a *dispatch.Attempt, class string) []byte {
+	b = append(append(b, "go "...), a.ID...)
+	b = append(append(b, " sort="...), class...)
+	b = append(append(b, ",asset="...), a.Function...)
+	b = append(b, ",patience="...)
+	b = strconv.AppendInt(b, max(a.Patience.Milliseconds(), 1), 10)
+	if a.Key != "" {
+		b = append(append(b, ",op="...), a.Key...)
+	}
+	b = strconv.AppendInt(append(b, ' '), int64(len(a.Body)), 10)
+	b = append(b, crlf...)
+	return append(append(b, a.Body...), crlf...)
+}
+
+func (c *conn) send(b []byte) {
+	// An error closes the connection and is reported by Closed.
+	_, err := c.c.Write(b)
+	if err == nil && c.c != nil && c.c.OutboundBuffered() > backlog {
+		c.pool.log.WithField("worker", c.w.id).Warn("agent does not read: connection closed")
+		c.close()
+	}
+}
+
+// Traffic reads answers.
+func (c *conn) Traffic(gc gnet.Conn) error {
+	c.heard = c.pool.loop.Now()
+	for {
+		b, err := gc.Peek(-1)
+		if err != nil || len(b) == 0 {
+			return nil
+		}
+		a, n, err := parse(b)
+		if err != nil {
+			c.pool.log.WithError(err).WithField("worker", c.w.id).Warn("agent closed: it cannot be understood")
+			return err
+		}
+		if n == 0 {
+			return nil
+		}
+		c.take(a)
+		if c.c == nil {
+			return nil
+		}
+		if _, err := gc.Discard(n); err != nil {
+			return fmt.Errorf("reading on: %w", err)
+		}
+		c.closeIfSpent()
+		if c.c == nil {
+			return nil
+		}
+	}
+}
+
+var outcomes = map[string]calicohill.Outcome{
+	"OK": calicohill.Served, "MISS": calicohill.NotLoaded, "BUSY": calicohill.Shed,
+	"ERR": calicohill.Errored, "VOID": calicohill.Unsent, "UP": calicohill.Served, "DOWN": calicohill.Errored,
+}
+
+// take passes an answer on.
+func (c *conn) take(a answer) {
+	j, ok := c.out[a.id]
+	if !ok {
+		return // it was given up before
+	}
+	delete(c.out, a.id)
+	e := dispatch.End{Outcome: outcomes[a.word], Body: a.body, Company: -1, Report: a.report}
+	if a.word == "OK" || a.word == "BUSY" {
+		e.Company = a.depth
+	}
+	c.pool.finish(j, e)
+}
+
+// retire has a connection get nothing new.
+func (c *conn) retire(why string) {
+	if !c.retired {
+		c.retired = true
+		c.pool.log.WithFields(logrus.Fields{"worker": c.w.id, "why": why}).Info("agent connection retired")
+	}
+}
+
+// closeIfSpent closes a retired connection once nobody waits for anything on it.
+func (c *conn) closeIfSpent() {
+	if c.retired && len(c.out) == 0 {
+		c.close()
+	}
+}
+
+func (c *conn) close() {
+	if c.c != nil {
+		// On the loop gnet closes at once and calls Closed.
+		_ = c.c.EventLoop().Close(c.c)
+	}
+}
+
+var errClosed = errors.New("closed")
+
+// Closed ends all that was out: it was written, so it may have run.
+func (c *conn) Closed(_ gnet.Conn, err error) {
+	p, w := c.pool, c.w
+	c.c = nil
+	p.conns.Free(c.ref)
+	p.loop.Drop(&c.idle)
+	for i, other := range w.conns {
+		if other == c {
+			w.conns = append(w.conns[:i:i], w.conns[i+1:]...)
+			break
+		}
+	}
+	lost := len(c.out)
+	for id, j := range c.out {
+		delete(c.out, id)
+		p.finish(j, dispatch.End{Outcome: calicohill.Reset, Company: -1})
+	}
+	if lost > 0 {
+		if err == nil {
+			err = errClosed
+		}
+		p.log.WithError(err).WithFields(logrus.Fields{"worker": w.id, "lost": lost}).Warn("agent connection lost")
+	}
+}
--- /dev/null
+++ b/internal/agent/line.go
@@ -0,0 +1,125 @@
+package agent
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"calicohill"
+)
+
+// Limits on what an agent may write.
+const (
+	maxLine   = 4 << 10
+	maxAnswer = 1 << 20
+)
+
+// answer is one answer of an agent.
+type answer struct {
+	id, word string
+	depth    int // 0 if absent
+	report   *calicohill.Report
+	body     []byte
+}
+
+var errLine = errors.New("answer cannot be read")
+
+// parse reads the answer that a buffer begins with and tells how many bytes it takes, 0 if it is not whole yet.
+// The body is part of the buffer.
+//
+// Guards against an agent that writes without end or nonsense: lines and bodies are bounded, every word must
+// be as the protocol has it, and an error is for good.
+func parse(b []byte) (a answer, n int, err error) {
+	end := bytes.Index(b[:min(len(b), maxLine)], crlf)
+	if end < 0 {
+		if len(b) >= maxLine {
+			return a, 0, fmt.Errorf("%w: no line end in %d bytes", errLine, maxLine)
+		}
+		return a, 0, nil
+	}
+	words := strings.Split(string(b[:end]), " ")
+	if len(words) < 2 || len(words) > 4 || words[0] == "" {
+		return a, 0, fmt.Errorf("%w: %d words", errLine, len(words))
+	}
+	a.id, a.word = words[0], words[1]
+	switch a.word {
+	case "OK", "MISS", "BUSY", "ERR", "VOID":
+		if len(words) != 4 {
+			return a, 0, fmt.Errorf("%w: %s of %d words", errLine, a.word, len(words))
+		}
+	case "UP", "DOWN": // the answers to probes need no body
+	default:
+		return a, 0, fmt.Errorf("%w: word %.20q", errLine, a.word)
+	}
+	if len(words) > 2 {
+		if err := a.fields(words[2]); err != nil {
+			return a, 0, err
+		}
+	}
+	n = end + len(crlf)
+	if len(words) < 4 {
+		return a, n, nil
+	}
+	length, err := strconv.ParseUint(words[3], 10, 32)
+	if err != nil || length > maxAnswer {
+		return a, 0, fmt.Errorf("%w: length %.20q", errLine, words[3])
+	}
+	whole := n + int(length) + len(crlf)
+	if len(b) < whole {
+		return a, 0, nil
+	}
+	if !bytes.Equal(b[whole-len(crlf):whole], crlf) {
+		return a, 0, fmt.Errorf("%w: body of %d bytes runs on", errLine, length)
+	}
+	a.body = b[n : n+int(length)]
+	return a, whole, nil
+}
+
+// fields reads name=value,name=value, or - for none. Names that are not known are skipped.
+func (a *answer) fields(list string) error {
+	if list == "-" {
+		return nil
+	}
+	for f := range strings.SplitSeq(list, ",") {
+		name, value, ok := strings.Cut(f, "=")
+		if !ok || name == "" {
+			return fmt.Errorf("%w: field %.20q", errLine, f)
+		}
+		switch name {
+		case "depth":
+			n, err := strconv.ParseUint(value, 10, 31)
+			if err != nil {
+				return fmt.Errorf("%w: depth %.20q", errLine, value)
+			}
+			a.depth = int(n)
+		case "l":
+			r, err := parseReport(value)
+			if err != nil {
+				return err
+			}
+			a.report = r
+		}
+	}
+	return nil
+}
+
+// parseReport reads a load report, as in inflight:7;util:0.61.
+func parseReport(list string) (*calicohill.Report, error) {
+	r := &calicohill.Report{InFlight: -1, Queue: -1, Util: -1, MemoryHeld: -1, Loads: -1}
+	known := map[string]*float64{"inflight": &r.InFlight, "queue": &r.Queue, "util": &r.Util,
+		"x0": &r.MemoryHeld, "x1": &r.Loads}
+	for f := range strings.SplitSeq(list, ";") {
+		name, value, ok := strings.Cut(f, ":")
+		x, err := strconv.ParseFloat(value, 64)
+		if !ok || err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+			return nil, fmt.Errorf("%w: report %.20q", errLine, f)
+		}
+		if p := known[name]; p != nil {
+			*p = x
+		}
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/bulletin/http.go
@@ -0,0 +1,110 @@
+package bulletin
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Limits on what the bulletin may answer.
+const (
+	maxHead = 16 << 10
+	maxBody = 4 << 20
+)
+
+var (
+	errHTTP  = errors.New("answer cannot be read")
+	crlf     = []byte("\r\n")
+	headEnd  = []byte("\r\n\r\n")
+	maxChunk = 64 // of a chunk's head
+)
+
+// parse reads the HTTP answer that a buffer begins with. n is how many bytes it takes, 0 if it is not whole
+// yet; last reports that the connection ends with it.
+//
+// Guards against a peer that writes without end: head and body are bounded.
+func parse(b []byte) (body []byte, n int, last bool, err error) {
+	end := bytes.Index(b[:min(len(b), maxHead)], headEnd)
+	if end < 0 {
+		if len(b) >= maxHead {
+			return nil, 0, false, fmt.Errorf("%w: head over %d bytes", errHTTP, maxHead)
+		}
+		return nil, 0, false, nil
+	}
+	lines := strings.Split(string(b[:end]), "\r\n")
+	version, status, _ := strings.Cut(lines[0], " ")
+	if version != "HTTP/1.1" && version != "HTTP/1.0" {
+		return nil, 0, false, fmt.Errorf("%w: %.40q", errHTTP, lines[0])
+	}
+	if !strings.HasPrefix(status, "200") {
+		return nil, 0, false, fmt.Errorf("status %.40q", status)
+	}
+	length, chunked := -1, false
+	last = version == "HTTP/1.0"
+	for _, l := range lines[1:] {
+		name, value, ok := strings.Cut(l, ":")
+		if value = strings.TrimSpace(value); !ok {
+			return nil, 0, false, fmt.Errorf("%w: header %.40q", errHTTP, l)
+		}
+		switch strings.ToLower(name) {
+		case "content-length":
+			x, err := strconv.ParseUint(value, 10, 31)
+			if err != nil || x > maxBody {
+				return nil, 0, false, fmt.Errorf("%w: length %.20q", errHTTP, value)
+			}
+			length = int(x)
+		case "transfer-encoding":
+			chunked = strings.EqualFold(value, "chunked")
+		case "connection":
+			last = strings.EqualFold(value, "close")
+		}
+	}
+	rest := b[end+len(headEnd):]
+	if chunked {
+		body, n, err = unchunk(rest)
+		if n > 0 {
+			n += end + len(headEnd)
+		}
+		return body, n, last, err
+	}
+	if length < 0 {
+		return nil, 0, false, fmt.Errorf("%w: no length", errHTTP)
+	}
+	if len(rest) < length {
+		return nil, 0, false, nil
+	}
+	return rest[:length], end + len(headEnd) + length, last, nil
+}
+
+// unchunk joins the chunks that a buffer begins with, and tells how many bytes they take, 0 if not all are there.
+func unchunk(b []byte) (body []byte, n int, err error) {
+	for {
+		head := bytes.Index(b[n:min(len(b), n+maxChunk)], crlf)
+		if head < 0 {
+			if len(b)-n >= maxChunk {
+				return nil, 0, fmt.Errorf("%w: head of a chunk", errHTTP)
+			}
+			return nil, 0, nil
+		}
+		text, _, _ := strings.Cut(string(b[n:n+head]), ";")
+		size, err := strconv.ParseUint(strings.TrimSpace(text), 16, 31)
+		if err != nil || int(size)+len(body) > maxBody {
+			return nil, 0, fmt.Errorf("%w: chunk of %.20q", errHTTP, text)
+		}
+		n += head + len(crlf)
+		if len(b) < n+int(size)+len(crlf) {
+			return nil, 0, nil
+		}
+		body = append(body, b[n:n+int(size)]...)
+		n += int(size)
+		if !bytes.Equal(b[n:n+len(crlf)], crlf) {
+			return nil, 0, fmt.Errorf("%w: chunk runs on, or has a trailer", errHTTP)
+		}
+		n += len(crlf)
+		if size == 0 {
+			return body, n, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,383 @@
+// Package dispatch stands between the decisions and the peers. It owns the Router, the table of requests and
+// their deadlines, gathers what peers report into one Step for each pass of the event loop, and turns the
+// Router's actions into calls of the peers. It knows no protocol: whatever speaks one to clients hands in Calls
+// and is a Caller, whatever reaches workers is Workers, and whatever holds a list of workers hands in Rosters.
+package dispatch
+
+import (
+	"errors"
+	"time"
+
+	"calicohill"
+	"calicohill/internal/buffer"
+	"calicohill/internal/deadline"
+	"calicohill/internal/slot"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Call is a client's request.
+type Call struct {
+	ID       string // new with every request
+	Class    int
+	Function string
+	Key      string // idempotency key; "" if none
+	Budget   time.Duration
+	Memory   float64 // of a loaded copy, in MB; 0 if not told
+	Lanes    int     // 0 if not told
+	LoadTime time.Duration
+	Body     *buffer.Buffer // nil if empty; the dispatcher gives it back to the pool
+}
+
+// Verdict is what a final answer says.
+type Verdict int
+
+// The verdicts.
+const (
+	Served Verdict = iota
+	Refused
+	Failed
+)
+
+// Answer is the final answer to a Call.
+type Answer struct {
+	Verdict    Verdict
+	Body       []byte        // of a served one; good only during the call
+	RetryAfter time.Duration // advice with a refusal; 0 means none
+}
+
+// Caller is whoever handed in a Call. It is given the one final answer, under the tag that it named.
+type Caller interface {
+	Answer(tag slot.Ref, a Answer)
+}
+
+// Attempt is a request on its way to a worker.
+type Attempt struct {
+	Ref      slot.Ref // names it in Halt and Ended
+	Worker   string
+	ID       string
+	Class    int
+	Function string
+	Key      string
+	Patience time.Duration
+	Body     []byte // good until Ended or Halt
+}
+
+// Workers reaches the workers. Each attempt that is sent and not halted is reported with Ended, once, and
+// each probe with Probed.
+type Workers interface {
+	Follow(Roster)
+	Send(Attempt)
+	Halt(ref slot.Ref) (written bool)
+	Probe(worker string)
+}
+
+// End is how an attempt or a probe ended.
+type End struct {
+	Outcome calicohill.Outcome
+	Body    []byte // of a served one; good only during the call
+	Company int    // requests for the function that the worker held; -1 if not told
+	Report  *calicohill.Report
+}
+
+// Roster is a list of workers, or what changed in it.
+type Roster struct {
+	Full    bool // who is missing has gone
+	Entries []Entry
+}
+
+// Entry is a worker and where to reach it.
+type Entry struct {
+	calicohill.Worker
+	Addr string
+}
+
+// Loop is what the dispatcher needs of the event loop.
+type Loop interface {
+	Now() time.Duration
+	Post(func())
+	At(*deadline.Entry, time.Duration)
+	Drop(*deadline.Entry)
+}
+
+// reserve is kept of each client's time: the request has been on its way, and the answer will be.
+const reserve = 3 * time.Millisecond
+
+// Errors of Take.
+var (
+	ErrKnownID = errors.New("a request of this id is open")
+	ErrFull    = errors.New("too many requests are open")
+)
+
+// Dispatcher is the engine of a scheduler. All its methods must be called on the loop.
+type Dispatcher struct {
+	loop    Loop
+	router  *calicohill.Router
+	workers Workers
+	pool    *buffer.Pool
+	maxOpen int
+	log     logrus.FieldLogger
+
+	requests slot.Table[*request]
+	byID     map[string]slot.Ref
+	attempts slot.Table[*attempt]
+	states   map[string]calicohill.WorkerState
+	listed   bool
+	open     int // requests without a final answer
+
+	events []calicohill.Event
+	posted bool
+}
+
+type request struct {
+	Call
+	ref      slot.Ref
+	caller   Caller
+	tag      slot.Ref
+	end      time.Duration // when the client gives up, less the reserve
+	done     bool
+	attempts []slot.Ref
+	out      int
+}
+
+type attempt struct {
+	ref    slot.Ref
+	q      *request
+	n      int
+	worker string
+	sent   time.Duration
+	late   deadline.Entry
+}
+
+// New returns a Dispatcher. Use must be called before anything else.
+func New(l Loop, r *calicohill.Router, pool *buffer.Pool, maxOpen int, log logrus.FieldLogger) *Dispatcher {
+	return &Dispatcher{loop: l, router: r, pool: pool, maxOpen: maxOpen, log: log,
+		byID: map[string]slot.Ref{}, states: map[string]calicohill.WorkerState{}}
+}
+
+// Use names what reaches the workers.
+func (d *Dispatcher) Use(w Workers) { d.workers = w }
+
+// Ready reports whether a list of workers is held.
+func (d *Dispatcher) Ready() bool { return d.listed }
+
+// Open is the number of requests that are owed a final answer.
+func (d *Dispatcher) Open() int { return d.open }
+
+// ---- clients ----
+
+// Take takes a request in and owes its caller one final answer. With an error nothing is owed, and the body
+// stays the caller's.
+func (d *Dispatcher) Take(c Call, from Caller, tag slot.Ref) (slot.Ref, error) {
+	// The Router passes over an id that it still holds, and would never answer it.
+	if _, ok := d.byID[c.ID]; ok {
+		return 0, ErrKnownID
+	}
+	if d.maxOpen > 0 && d.open >= d.maxOpen {
+		return 0, ErrFull
+	}
+	now := d.loop.Now()
+	q := &request{Call: c, caller: from, tag: tag, end: now + c.Budget - reserve}
+	q.ref = d.requests.Put(q)
+	d.byID[c.ID] = q.ref
+	d.open++
+	d.tell(calicohill.Request{ID: c.ID, Class: c.Class, Function: c.Function, TimeLeft: max(q.end-now, 0),
+		Memory: c.Memory, Lanes: c.Lanes, LoadTime: c.LoadTime})
+	return q.ref, nil
+}
+
+// Abandon says that the client has left. Nothing more is owed.
+func (d *Dispatcher) Abandon(ref slot.Ref) {
+	if q, ok := d.requests.Get(ref); ok && !q.done {
+		d.finish(q)
+		d.tell(calicohill.Abandoned{ID: q.ID})
+	}
+}
+
+// answer gives the final answer, unless there was one.
+func (d *Dispatcher) answer(q *request, a Answer) {
+	if q.done {
+		return
+	}
+	d.finish(q)
+	q.caller.Answer(q.tag, a)
+}
+
+func (d *Dispatcher) finish(q *request) {
+	q.done = true
+	d.open--
+}
+
+// forget frees a request that is answered and has no attempt out.
+func (d *Dispatcher) forget(q *request) {
+	if !q.done || q.out > 0 {
+		return
+	}
+	if _, ok := d.requests.Get(q.ref); !ok {
+		return
+	}
+	d.requests.Free(q.ref)
+	delete(d.byID, q.ID)
+	d.pool.Put(q.Body)
+	q.Body = nil
+}
+
+// ---- workers ----
+
+// Ended reports how an attempt ended.
+func (d *Dispatcher) Ended(ref slot.Ref, e End) {
+	a, ok := d.attempts.Get(ref)
+	if !ok {
+		return
+	}
+	if e.Outcome == calicohill.Served {
+		d.answer(a.q, Answer{Verdict: Served, Body: e.Body})
+	}
+	d.end(a, e)
+}
+
+// end closes an attempt and tells the Router.
+func (d *Dispatcher) end(a *attempt, e End) {
+	d.loop.Drop(&a.late)
+	d.attempts.Free(a.ref)
+	a.q.out--
+	d.tell(calicohill.AttemptEnd{ID: a.q.ID, Attempt: a.n, Worker: a.worker, Outcome: e.Outcome,
+		Closed: a.q.done, Latency: d.loop.Now() - a.sent, Company: e.Company, Report: e.Report})
+}
+
+// halt gives an attempt up. One of which nothing was written has not run, whatever the reason.
+func (d *Dispatcher) halt(a *attempt, written calicohill.Outcome, unwritten calicohill.Outcome) {
+	e := End{Outcome: written, Company: -1}
+	if !d.workers.Halt(a.ref) {
+		e.Outcome = unwritten
+	}
+	d.end(a, e)
+}
+
+// Probed reports how a probe ended.
+func (d *Dispatcher) Probed(worker string, took time.Duration, e End) {
+	d.tell(calicohill.ProbeEnd{Worker: worker, Outcome: e.Outcome, Latency: took, Report: e.Report})
+}
+
+// May reports whether new work may go to a worker.
+func (d *Dispatcher) May(worker string) bool { return d.states[worker] == calicohill.Ready }
+
+// ---- the list ----
+
+// List takes in a list of workers.
+func (d *Dispatcher) List(r Roster) {
+	d.listed = true
+	l := calicohill.WorkerList{Kind: calicohill.ListChanges}
+	if r.Full {
+		l.Kind = calicohill.ListFull
+		clear(d.states)
+	}
+	for _, e := range r.Entries {
+		l.Workers = append(l.Workers, e.Worker)
+		d.states[e.ID] = e.State
+		if e.State == calicohill.Gone {
+			delete(d.states, e.ID)
+		}
+	}
+	// The Router hears of it before the attempts that end with it.
+	d.tell(l)
+	d.workers.Follow(r)
+}
+
+// ---- the Router ----
+
+// tell keeps an event for the Step that ends this pass of the loop.
+func (d *Dispatcher) tell(e calicohill.Event) {
+	d.events = append(d.events, e)
+	if !d.posted {
+		d.posted = true
+		d.loop.Post(d.step)
+	}
+}
+
+func (d *Dispatcher) step() {
+	d.posted = false
+	events := d.events
+	d.events = nil
+	actions := d.router.Step(d.loop.Now(), events)
+	for _, a := range actions {
+		d.do(a)
+	}
+	for _, e := range events {
+		switch e := e.(type) {
+		case calicohill.AttemptEnd:
+			d.forgetID(e.ID)
+		case calicohill.Abandoned:
+			d.forgetID(e.ID)
+		}
+	}
+}
+
+func (d *Dispatcher) forgetID(id string) {
+	if q, ok := d.requests.Get(d.byID[id]); ok {
+		d.forget(q)
+	}
+}
+
+func (d *Dispatcher) do(a calicohill.Action) {
+	switch a := a.(type) {
+	case calicohill.Send:
+		d.send(a)
+	case calicohill.Cancel:
+		if q, ok := d.requests.Get(d.byID[a.ID]); ok && a.Attempt < len(q.attempts) {
+			if at, ok := d.attempts.Get(q.attempts[a.Attempt]); ok {
+				d.halt(at, calicohill.Cancelled, calicohill.Unsent)
+			}
+		}
+	case calicohill.Refuse:
+		d.final(a.ID, Answer{Verdict: Refused, RetryAfter: a.RetryAfter})
+	case calicohill.Fail:
+		d.final(a.ID, Answer{Verdict: Failed})
+	case calicohill.SetTimer:
+		d.loop.At(&deadline.Entry{Fire: func() { d.tell(calicohill.TimerFired{Token: a.Token}) }},
+			d.loop.Now()+a.After)
+	case calicohill.Probe:
+		d.workers.Probe(a.Worker)
+	case calicohill.Load:
+		// No peer takes orders to load: the Router hears that this one never left.
+		d.tell(calicohill.LoadEnd{Worker: a.Worker, Function: a.Function, Outcome: calicohill.Unsent})
+	case calicohill.Unload, calicohill.Subscribe, calicohill.FetchList:
+		// Nothing to do: the list comes unasked, and no peer takes orders to unload.
+	}
+}
+
+func (d *Dispatcher) final(id string, a Answer) {
+	if q, ok := d.requests.Get(d.byID[id]); ok {
+		d.answer(q, a)
+		d.forget(q)
+	}
+}
+
+func (d *Dispatcher) send(s calicohill.Send) {
+	q, ok := d.requests.Get(d.byID[s.ID])
+	if !ok {
+		return
+	}
+	now := d.loop.Now()
+	a := &attempt{q: q, n: len(q.attempts), worker: s.Worker, sent: now}
+	a.ref = d.attempts.Put(a)
+	q.attempts = append(q.attempts, a.ref)
+	q.out++
+	until := q.end
+	if s.Timeout > 0 {
+		until = min(until, now+s.Timeout)
+	}
+	if q.done || until <= now || !d.May(s.Worker) {
+		// The client may have left, or the worker, since the Router was told last.
+		d.end(a, End{Outcome: calicohill.Unsent, Company: -1})
+		return
+	}
+	a.late.Fire = func() { d.halt(a, calicohill.TimedOut, calicohill.Unreached) }
+	d.loop.At(&a.late, until)
+	at := Attempt{Ref: a.ref, Worker: s.Worker, ID: q.ID, Class: q.Class, Function: q.Function, Key: q.Key,
+		Patience: until - now}
+	if q.Body != nil {
+		at.Body = q.Body.B
+	}
+	d.workers.Send(at)
+}
--- /dev/null
+++ b/internal/fastcgi/call.go
@@ -0,0 +1,108 @@
+package fastcgi
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"calicohill"
+	"calicohill/internal/dispatch"
+	"calicohill/internal/settings"
+)
+
+// maxBudget is the longest that a client may say it waits; more is taken for nonsense.
+const maxBudget = 10 * time.Minute
+
+// fields are the parameters of a request that mean something here.
+type fields struct {
+	path, id, budget, once, key, spec, length string
+}
+
+func parseFields(params []byte) (f fields, err error) {
+	known := map[string]*string{"SCRIPT_NAME": &f.path, "HTTP_REQUEST_ID": &f.id, "HTTP_BUDGET_MS": &f.budget,
+		"HTTP_ONCE_KEY": &f.once, "HTTP_RESOURCE_KEY": &f.key, "HTTP_X_SPEC": &f.spec,
+		"CONTENT_LENGTH": &f.length}
+	err = pairs(params, func(name, value []byte) {
+		if p := known[string(name)]; p != nil {
+			*p = string(value)
+		}
+	})
+	return f, err
+}
+
+// call checks the fields of a request. What passes can be written to a worker as it is.
+func (f *fields) call(site *settings.Site, classes map[string]int) (c dispatch.Call, err error) {
+	name, ok := strings.CutPrefix(f.path, "/rpc/")
+	if c.Class, ok = classes[name]; !ok {
+		return c, fmt.Errorf("path %.40q", f.path)
+	}
+	if !isHex16(f.id) {
+		return c, fmt.Errorf("Request-Id %.40q", f.id)
+	}
+	if !isHex16(f.key) {
+		return c, fmt.Errorf("Resource-Key %.40q", f.key)
+	}
+	ms, err := strconv.ParseUint(f.budget, 10, 31)
+	if c.Budget = time.Duration(ms) * time.Millisecond; err != nil || ms == 0 || c.Budget > maxBudget {
+		return c, fmt.Errorf("Budget-Ms %.40q", f.budget)
+	}
+	if f.once == "" && site.Classes[c.Class].Effect == calicohill.Keyed {
+		return c, errors.New("no Once-Key")
+	}
+	if !isToken(f.once) {
+		return c, fmt.Errorf("Once-Key %.40q", f.once)
+	}
+	c.ID, c.Function, c.Key = f.id, f.key, f.once
+	return c, parseSpec(f.spec, &c)
+}
+
+// parseSpec reads the further figures, as in memory_mb:512;lanes:2. Names that are not known are skipped.
+func parseSpec(spec string, c *dispatch.Call) error {
+	if spec == "" {
+		return nil
+	}
+	for part := range strings.SplitSeq(spec, ";") {
+		name, value, ok := strings.Cut(part, ":")
+		x, err := strconv.ParseFloat(value, 64)
+		if !ok || err != nil || math.IsNaN(x) || x < 0 || x > math.MaxInt32 {
+			return fmt.Errorf("X-Spec %.40q", part)
+		}
+		switch name {
+		case "memory_mb":
+			c.Memory = x
+		case "lanes":
+			c.Lanes = int(x)
+		case "load_ms":
+			c.LoadTime = time.Duration(x * float64(time.Millisecond))
+		}
+	}
+	return nil
+}
+
+func isHex16(s string) bool {
+	if len(s) != 16 {
+		return false
+	}
+	for _, c := range []byte(s) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// isToken reports whether a key can stand in a list of fields. An empty one stands for none.
+func isToken(s string) bool {
+	if len(s) > 128 {
+		return false
+	}
+	for _, c := range []byte(s) {
+		if c <= ' ' || c >= 0x7f || c == ',' || c == '=' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/fastcgi/server.go
@@ -0,0 +1,360 @@
+// Package fastcgi serves clients: it reads their requests from FastCGI connections, and writes the answers.
+package fastcgi
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"calicohill/internal/buffer"
+	"calicohill/internal/dispatch"
+	"calicohill/internal/loop"
+	"calicohill/internal/settings"
+	"calicohill/internal/slot"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	maxStreams = 32 // requests that a connection may have open
+	// backlog is how much may wait unsent for a client until it counts as not reading.
+	backlog = 4 << 20
+)
+
+// Dispatcher is what a Server needs of the dispatcher.
+type Dispatcher interface {
+	Take(c dispatch.Call, from dispatch.Caller, tag slot.Ref) (slot.Ref, error)
+	Abandon(ref slot.Ref)
+	Ready() bool
+}
+
+// Server holds the clients' connections. It is a dispatch.Caller.
+type Server struct {
+	dispatcher Dispatcher
+	pool       *buffer.Pool
+	site       *settings.Site
+	classes    map[string]int
+	maxConns   int
+	log        logrus.FieldLogger
+
+	conns   int
+	streams slot.Table[*stream]
+	scratch []byte
+}
+
+// conn is a client's connection. It is its loop.Peer.
+type conn struct {
+	s       *Server
+	c       gnet.Conn // nil once it is gone
+	streams map[uint16]*stream
+}
+
+// stream is a request on a connection, from its BEGIN_REQUEST to its END_REQUEST.
+type stream struct {
+	ref          slot.Ref
+	conn         *conn
+	id           uint16
+	keep         bool
+	params, body *buffer.Buffer
+	fields       fields
+	call         dispatch.Call
+	named        bool     // the parameters are complete
+	taken        slot.Ref // the dispatcher's; 0 until it has the request
+}
+
+// New returns a Server that lets in at most maxConns connections.
+func New(d Dispatcher, pool *buffer.Pool, site *settings.Site, maxConns int, log logrus.FieldLogger) *Server {
+	s := &Server{dispatcher: d, pool: pool, site: site, classes: map[string]int{}, maxConns: maxConns, log: log}
+	for i, name := range site.ClassNames {
+		s.classes[name] = i
+	}
+	return s
+}
+
+// Accept takes a connection in, or nil if there are too many.
+func (s *Server) Accept(c gnet.Conn) loop.Peer {
+	if s.conns >= s.maxConns {
+		s.log.WithField("connections", s.conns).Warn("client turned away: too many connections")
+		return nil
+	}
+	s.conns++
+	return &conn{s: s, c: c, streams: map[uint16]*stream{}}
+}
+
+// Streams is the number of requests begun and not ended.
+func (s *Server) Streams() int { return s.streams.Len() }
+
+// Answer writes a final answer.
+func (s *Server) Answer(tag slot.Ref, a dispatch.Answer) {
+	st, ok := s.streams.Get(tag)
+	if !ok {
+		return
+	}
+	switch a.Verdict {
+	case dispatch.Served:
+		st.respond(http.StatusOK, "", a.Body)
+	case dispatch.Refused:
+		advice := ""
+		if ms := a.RetryAfter.Milliseconds(); ms > 0 && s.site.HonoursRetry {
+			advice = "Back-Off-Ms: " + strconv.FormatInt(ms, 10) + "\r\n"
+		}
+		st.respond(http.StatusServiceUnavailable, advice, nil)
+	default:
+		st.respond(http.StatusBadGateway, "", nil)
+	}
+}
+
+// Open does nothing: a client speaks first.
+func (c *conn) Open(gnet.Conn) {}
+
+// Traffic reads records.
+func (c *conn) Traffic(gc gnet.Conn) error {
+	for {
+		b, err := gc.Peek(-1)
+		if err != nil || len(b) == 0 {
+			return nil
+		}
+		r, n, err := parse(b)
+		if err == nil && n == 0 {
+			return nil
+		}
+		if err == nil {
+			err = c.record(r)
+		}
+		if err != nil {
+			c.s.log.WithError(err).Warn("client closed: it cannot be understood")
+			return err
+		}
+		if c.c == nil {
+			return nil // closed meanwhile
+		}
+		if _, err := gc.Discard(n); err != nil {
+			return fmt.Errorf("reading on: %w", err)
+		}
+	}
+}
+
+// record acts on a record. An error means that the connection cannot be understood any more.
+func (c *conn) record(r record) error {
+	if r.id == 0 {
+		return c.manage(r)
+	}
+	st := c.streams[r.id]
+	switch r.kind {
+	case typeBegin:
+		if st != nil {
+			return fmt.Errorf("%w: request %d begun twice", errFraming, r.id)
+		}
+		return c.begin(r)
+	case typeAbort:
+		if st != nil {
+			st.abort()
+		}
+	case typeParams:
+		if st != nil && !st.named {
+			st.param(r.content)
+		}
+	case typeStdin:
+		if st != nil && st.taken == 0 {
+			st.stdin(r.content)
+		}
+	case typeData: // for a Filter, which this is not
+	default:
+		c.write(appendUnknown(c.s.scratch[:0], r.kind))
+	}
+	return nil
+}
+
+// manage answers a record that belongs to no request.
+func (c *conn) manage(r record) error {
+	switch r.kind {
+	case typeGetValues:
+		b, err := appendValues(c.s.scratch[:0], r.content, c.s.maxConns)
+		if err != nil {
+			return fmt.Errorf("%w: %w", errFraming, err)
+		}
+		c.write(b)
+	case typeBegin, typeAbort, typeParams, typeStdin, typeData:
+		return fmt.Errorf("%w: record of type %d without a request", errFraming, r.kind)
+	default:
+		c.write(appendUnknown(c.s.scratch[:0], r.kind))
+	}
+	return nil
+}
+
+func (c *conn) begin(r record) error {
+	if len(r.content) != 8 {
+		return fmt.Errorf("%w: BEGIN_REQUEST of %d bytes", errFraming, len(r.content))
+	}
+	s := c.s
+	st := &stream{conn: c, id: r.id, keep: r.content[2]&flagKeepConn != 0}
+	st.ref = s.streams.Put(st)
+	c.streams[r.id] = st
+	if binary.BigEndian.Uint16(r.content) != roleResponder {
+		st.end(appendEnd(s.scratch[:0], r.id, statusUnknownRole))
+		return nil
+	}
+	if st.params = s.pool.Get(); st.params == nil || len(c.streams) > maxStreams {
+		s.log.WithField("streams", s.streams.Len()).Warn("request refused: too many are open")
+		st.end(appendEnd(s.scratch[:0], r.id, statusOverloaded))
+	}
+	return nil
+}
+
+func (c *conn) write(b []byte) {
+	if c.c == nil {
+		return
+	}
+	c.s.scratch = b[:0]
+	// An error closes the connection and is seen by Closed.
+	_, _ = c.c.Write(b)
+	if c.c != nil && c.c.OutboundBuffered() > backlog {
+		c.s.log.Warn("client closed: it does not read")
+		c.close()
+	}
+}
+
+func (c *conn) close() {
+	if c.c != nil {
+		// On the loop gnet closes at once and calls Closed.
+		_ = c.c.EventLoop().Close(c.c)
+	}
+}
+
+// Closed gives up all that was open.
+func (c *conn) Closed(gnet.Conn, error) {
+	c.c = nil
+	c.s.conns--
+	for _, st := range c.streams {
+		st.forget()
+		if st.taken != 0 {
+			c.s.dispatcher.Abandon(st.taken)
+		}
+	}
+}
+
+// ---- a request ----
+
+// param takes in part of the parameters; an empty one ends them.
+func (st *stream) param(b []byte) {
+	s := st.conn.s
+	if len(b) > 0 {
+		if !st.params.Append(b) {
+			st.reject(http.StatusRequestHeaderFieldsTooLarge, errors.New("parameters too long"))
+		}
+		return
+	}
+	st.named = true
+	f, err := parseFields(st.params.B)
+	s.pool.Put(st.params)
+	st.params = nil
+	if err != nil {
+		st.reject(http.StatusBadRequest, err)
+		return
+	}
+	st.fields = f
+	if f.path == healthPath {
+		return
+	}
+	if st.call, err = f.call(s.site, s.classes); err != nil {
+		st.reject(http.StatusBadRequest, err)
+	}
+}
+
+const healthPath = "/health"
+
+// stdin takes in part of the body; an empty one ends it and with it the request.
+func (st *stream) stdin(b []byte) {
+	s := st.conn.s
+	if len(b) > 0 {
+		if st.body == nil {
+			if st.body = s.pool.Get(); st.body == nil {
+				s.log.WithField("streams", s.streams.Len()).Warn("request refused: too many are open")
+				st.end(appendEnd(s.scratch[:0], st.id, statusOverloaded))
+				return
+			}
+		}
+		if !st.body.Append(b) {
+			st.reject(http.StatusRequestEntityTooLarge, fmt.Errorf("body over %d bytes", buffer.Size))
+		}
+		return
+	}
+	if !st.named {
+		st.reject(http.StatusBadRequest, errors.New("body ended before the parameters"))
+		return
+	}
+	if st.fields.path == healthPath {
+		st.health()
+		return
+	}
+	size := 0
+	if st.body != nil {
+		size = len(st.body.B)
+	}
+	if st.fields.length != "" && st.fields.length != strconv.Itoa(size) {
+		st.reject(http.StatusBadRequest, fmt.Errorf("body of %d bytes, CONTENT_LENGTH %.20q", size, st.fields.length))
+		return
+	}
+	st.call.Body = st.body
+	ref, err := s.dispatcher.Take(st.call, s, st.ref)
+	switch {
+	case errors.Is(err, dispatch.ErrFull):
+		st.end(appendEnd(s.scratch[:0], st.id, statusOverloaded))
+	case err != nil:
+		st.reject(http.StatusBadRequest, err)
+	default:
+		st.taken, st.body = ref, nil
+	}
+}
+
+func (st *stream) health() {
+	if st.conn.s.dispatcher.Ready() {
+		st.respond(http.StatusOK, "", []byte("ok\n"))
+	} else {
+		st.respond(http.StatusServiceUnavailable, "", nil)
+	}
+}
+
+// abort ends a request that its client waits for no more. No answer is owed, but its id is free again.
+func (st *stream) abort() {
+	s, taken := st.conn.s, st.taken
+	st.end(appendEnd(s.scratch[:0], st.id, statusComplete))
+	if taken != 0 {
+		s.dispatcher.Abandon(taken)
+	}
+}
+
+func (st *stream) reject(status int, err error) {
+	st.conn.s.log.WithError(err).WithField("status", status).Warn("request rejected")
+	st.respond(status, "", nil)
+}
+
+// respond writes the whole answer.
+func (st *stream) respond(status int, headers string, body []byte) {
+	head := fmt.Appendf(nil, "Status: %d %s\r\n%sContent-Length: %d\r\n\r\n",
+		status, http.StatusText(status), headers, len(body))
+	st.end(appendEnd(appendStdout(st.conn.s.scratch[:0], st.id, head, body), st.id, statusComplete))
+}
+
+// end forgets the request and then writes its last bytes.
+func (st *stream) end(last []byte) {
+	c := st.conn
+	st.forget()
+	delete(c.streams, st.id)
+	c.write(last)
+	if !st.keep {
+		c.close()
+	}
+}
+
+// forget gives back what the request holds.
+func (st *stream) forget() {
+	s := st.conn.s
+	s.streams.Free(st.ref)
+	s.pool.Put(st.params)
+	s.pool.Put(st.body)
+	st.params, st.body = nil, nil
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,198 @@
+// Package loop runs the program's one event loop on gnet. Everything that holds state is called on it, so that
+// nothing needs a lock: connections, deadlines, and what other goroutines post.
+package loop
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"calicohill/internal/deadline"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"golang.org/x/sys/unix"
+)
+
+// Peer is the state of one connection. All calls come on the loop.
+type Peer interface {
+	Open(c gnet.Conn)            // the connection is up
+	Traffic(c gnet.Conn) error   // bytes have come; an error closes the connection
+	Closed(c gnet.Conn, e error) // it is gone, for whatever reason; c must not be used again
+}
+
+// Loop is the event loop.
+type Loop struct {
+	gnet.BuiltinEventEngine
+
+	Accept func(c gnet.Conn) Peer // state for a connection that came in; nil turns it away
+	Boot   func()                 // called first of all on the loop
+	Logger logging.Logger
+
+	start     time.Time
+	unix      time.Duration
+	engine    gnet.Engine
+	events    gnet.EventLoop
+	deadlines deadline.Queue
+	timer     *time.Timer
+	armed     time.Duration // what the timer is set for; 0 means nothing
+	err       error
+}
+
+// New returns a Loop.
+func New() *Loop {
+	now := time.Now()
+	return &Loop{start: now, unix: time.Duration(now.UnixNano())}
+}
+
+// Now is the Unix time. It advances steadily, whatever is done to the system's clock meanwhile.
+func (l *Loop) Now() time.Duration { return l.unix + time.Since(l.start) }
+
+// Run listens on an address and serves until Stop.
+func (l *Loop) Run(addr string) error {
+	// With its port reused, a gnet engine of one loop also accepts on that loop.
+	err := gnet.Run(l, "tcp://"+addr, gnet.WithReusePort(true), gnet.WithNumEventLoop(1),
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(l.Logger))
+	if err == nil {
+		err = l.err
+	}
+	if err != nil {
+		return fmt.Errorf("event loop: %w", err)
+	}
+	return nil
+}
+
+// Stop ends Run. It is safe to call from any goroutine but not to wait for on the loop.
+func (l *Loop) Stop() error { return l.engine.Stop(context.Background()) }
+
+// Post has a function called on the loop, after what is under way there. It is safe for concurrent use.
+func (l *Loop) Post(fn func()) {
+	// The only error is that the engine has stopped, and then nothing needs to be called.
+	_ = l.events.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		fn()
+		l.settle()
+		return nil
+	}))
+}
+
+// At sets a deadline.
+func (l *Loop) At(e *deadline.Entry, at time.Duration) { l.deadlines.Set(e, at) }
+
+// Drop takes a deadline back.
+func (l *Loop) Drop(e *deadline.Entry) { l.deadlines.Drop(e) }
+
+// Dial connects elsewhere, so that the loop never waits for it, and hands the connection to the peer's Open.
+// If none comes up in time, failed is called.
+func (l *Loop) Dial(addr string, timeout time.Duration, p Peer, failed func(error)) {
+	go func() {
+		c, err := net.DialTimeout("tcp", addr, timeout)
+		if err == nil {
+			var done <-chan gnet.RegisteredResult
+			if done, err = l.events.Enroll(gnet.NewContext(context.Background(), p), c); err == nil {
+				err = (<-done).Err
+			}
+		}
+		if err != nil {
+			l.Post(func() { failed(err) })
+		}
+	}()
+}
+
+// settle calls what is due and sets the timer for what is not. It ends every turn of the loop.
+func (l *Loop) settle() {
+	now := l.Now()
+	for e := l.deadlines.Due(now); e != nil; e = l.deadlines.Due(now) {
+		e.Fire()
+	}
+	next, ok := l.deadlines.Next()
+	if !ok || l.armed > 0 && l.armed <= next {
+		return
+	}
+	l.armed = next
+	l.timer.Reset(next - now)
+}
+
+// OnBoot has the loop learn of itself: gnet tells its event loop only to a connection, so one half of a pair
+// of sockets becomes one.
+func (l *Loop) OnBoot(e gnet.Engine) gnet.Action {
+	l.engine = e
+	go func() {
+		if err := l.enrollSelf(); err != nil {
+			l.err = err
+			_ = l.Stop()
+		}
+	}()
+	return gnet.None
+}
+
+func (l *Loop) enrollSelf() error {
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return os.NewSyscallError("socketpair", err)
+	}
+	file := os.NewFile(uintptr(pair[0]), "self")
+	c, err := net.FileConn(file)
+	file.Close()
+	if err != nil {
+		return err
+	}
+	// The other half stays open as long as the program.
+	ctx := gnet.NewNetConnContext(gnet.NewContext(context.Background(), self{}), c)
+	for {
+		done, err := l.engine.Register(ctx)
+		if err == nil {
+			return (<-done).Err
+		}
+		time.Sleep(time.Millisecond) // the engine has booted but not started
+	}
+}
+
+// self is the peer of the connection by which the loop learns of itself.
+type self struct{}
+
+func (self) Open(gnet.Conn)          {}
+func (self) Traffic(gnet.Conn) error { return nil }
+func (self) Closed(gnet.Conn, error) {}
+
+// OnOpen, OnTraffic and OnClose pass a connection's events on to its peer.
+func (l *Loop) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if l.events == nil {
+		l.events = c.EventLoop()
+		l.timer = time.AfterFunc(time.Hour, func() { l.Post(func() { l.armed = 0 }) })
+		l.Boot()
+	}
+	p, ok := c.Context().(Peer)
+	if !ok {
+		if p = l.Accept(c); p == nil {
+			return nil, gnet.Close
+		}
+		c.SetContext(p)
+	}
+	p.Open(c)
+	l.settle()
+	return nil, gnet.None
+}
+
+// OnTraffic is called when bytes have come.
+func (l *Loop) OnTraffic(c gnet.Conn) gnet.Action {
+	p, ok := c.Context().(Peer)
+	if !ok {
+		return gnet.Close
+	}
+	err := p.Traffic(c)
+	l.settle()
+	if err != nil {
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+// OnClose is called when a connection is gone.
+func (l *Loop) OnClose(c gnet.Conn, err error) gnet.Action {
+	if p, ok := c.Context().(Peer); ok {
+		p.Closed(c, err)
+	}
+	return gnet.None
+}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,15 +1,30 @@
-package wire
+// Package settings reads the settings object that a scheduler is given, by the simulator or in its
+// configuration.
+package settings
 
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"time"
 
 	"calicohill"
 )
 
-// bootInfo holds the keys of the settings object that the decisions use. Keys that are not named here are
+// Site is what the settings say: to the decisions, and to what is around them.
+type Site struct {
+	calicohill.Settings
+
+	ClassNames     []string // by class number
+	Zones, Kinds   []string // by number
+	Streams        int      // attempts that a connection to a worker carries at a time
+	IdleClose      time.Duration
+	ConnectTimeout time.Duration
+}
+
+// object holds the keys of the settings object that the decisions use. Keys that are not named here are
 // skipped, as the wire asks.
-type bootInfo struct {
+type object struct {
 	Balancers int     `json:"balancers"`
 	Rank      int     `json:"rank"`
 	AZ        int     `json:"az"`
@@ -22,8 +37,15 @@
 		RetryAfter      bool    `json:"retryAfter"`
 		SecondCopies    bool    `json:"secondCopies"`
 		MaxRetryAfterMs float64 `json:"maxRetryAfterMs"`
+
+		Multiplex        int     `json:"multiplex"`
+		IdleCloseMs      float64 `json:"idleCloseMs"`
+		ConnectTimeoutMs float64 `json:"connectTimeoutMs"`
 	} `json:"ceilings"`
+	Zones   []string `json:"dcs"`
+	Kinds   []string `json:"shapes"`
 	Classes []struct {
+		Name         string  `json:"name"`
 		AimMs        float64 `json:"aimMs"`
 		HardLimitMs  float64 `json:"hardLimitMs"`
 		Worth        float64 `json:"worth"`
@@ -86,11 +108,11 @@
 	}
 )
 
-// parseSettings reads the settings object of a power_on.
-func parseSettings(text string) (calicohill.Settings, error) {
-	var b bootInfo
-	if err := json.Unmarshal([]byte(text), &b); err != nil {
-		return calicohill.Settings{}, fmt.Errorf("bootInfo: %w", err)
+// Parse reads a settings object.
+func Parse(text []byte) (Site, error) {
+	var b object
+	if err := json.Unmarshal(text, &b); err != nil {
+		return Site{}, fmt.Errorf("settings: %w", err)
 	}
 	s := calicohill.Settings{
 		Schedulers: b.Balancers, Rank: b.Rank, Zone: b.AZ, Tick: duration(b.TickMs),
@@ -118,11 +140,11 @@
 	for i, c := range b.Classes {
 		effect, ok := effects[c.Effect]
 		if !ok {
-			return s, fmt.Errorf("bootInfo: class %d: unknown effect %q", i, c.Effect)
+			return Site{}, fmt.Errorf("settings: class %d: unknown effect %q", i, c.Effect)
 		}
 		scope, ok := scopes[c.DedupScope]
 		if !ok {
-			return s, fmt.Errorf("bootInfo: class %d: unknown dedupScope %q", i, c.DedupScope)
+			return Site{}, fmt.Errorf("settings: class %d: unknown dedupScope %q", i, c.DedupScope)
 		}
 		s.Classes = append(s.Classes, calicohill.Class{
 			Aim: duration(c.AimMs), Deadline: duration(c.HardLimitMs), Worth: c.Worth, LateWorth: c.LateWorth,
@@ -132,5 +154,14 @@
 	for _, t := range b.Tenants {
 		s.Tenants = append(s.Tenants, calicohill.Tenant{Share: t.Share, PerSecond: t.QuotaPerS})
 	}
-	return s, nil
+	site := Site{Settings: s, Zones: b.Zones, Kinds: b.Kinds, Streams: b.Ceilings.Multiplex,
+		IdleClose: duration(b.Ceilings.IdleCloseMs), ConnectTimeout: duration(b.Ceilings.ConnectTimeoutMs)}
+	for _, c := range b.Classes {
+		site.ClassNames = append(site.ClassNames, c.Name)
+	}
+	return site, nil
+}
+
+func duration(ms float64) time.Duration {
+	return time.Duration(math.Round(ms * float64(time.Millisecond)))
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"calicohill"
+	"calicohill/internal/settings"
 )
 
 // Start is the settings of an instance that begins its life.
@@ -138,12 +139,12 @@
 	switch f.name {
 	case "power_on":
 		seed := f.unsigned()
-		settings := f.rest()
+		text := f.rest()
 		if f.err != nil {
 			return it, f.err
 		}
-		s, err := parseSettings(settings)
-		it.Start = &Start{Seed: seed, Settings: s}
+		s, err := settings.Parse([]byte(text))
+		it.Start = &Start{Seed: seed, Settings: s.Settings}
 		return it, err
 	case "shutdown":
 		it.Stop = true
