Refuse at half the client's time what found no room and was never sent

Seen: a request that finds no room is held until 20 ms before its client gives up, and refused then. Ruled out: refusing past the half too.

--- a/router.go
+++ b/router.go
@@ -126,9 +126,11 @@
 	class         *Class
 	fn            *function
 	end, due      time.Duration // when the client gives up; the deadline that orders the queue
+	half          time.Duration // half of the client's time, less what a look may be late
 	attempts      []*attempt
 	out           int
 	done, streams bool
+	reached       bool // some attempt came as far as a worker
 }
 
 type attempt struct {
@@ -218,7 +220,7 @@
 	}
 	c := &r.set.Classes[e.Class]
 	q := &request{Request: e, class: c, fn: r.function(e), end: r.now + e.TimeLeft,
-		due: r.now + min(e.TimeLeft, c.Deadline)}
+		due: r.now + min(e.TimeLeft, c.Deadline), half: r.now + e.TimeLeft/2 - 2*beat}
 	r.requests[e.ID] = q
 	if r.set.CanLoad && r.set.LoadWindow > 0 {
 		r.calls = append(r.calls, r.now)
@@ -282,7 +284,10 @@
 	r.survey()
 	kept := r.held[:0]
 	for _, q := range r.held {
-		if q.end-r.now <= 2*beat || !r.hopeful(q) {
+		// What found no room in half its time is refused while its client can still do better by coming back:
+		// later a refusal is dear where nothing was ever sent, and past the half it is tried to the end.
+		stuck := !q.reached && r.now >= q.half && r.now < q.half+2*beat
+		if q.end-r.now <= 2*beat || stuck || !r.hopeful(q) {
 			r.finish(q)
 		}
 		if q.done {
@@ -682,6 +687,7 @@
 	a := q.attempts[e.Attempt]
 	w, p, f := a.w, a.p, q.fn
 	a.ended = true
+	q.reached = q.reached || e.Outcome != Unreached && e.Outcome != Unsent
 	a.proved = e.Outcome == Shed || e.Outcome == Unreached || e.Outcome == Unsent || e.Outcome == NotLoaded
 	q.out--
 	p.out--
