Advise refused clients to come back when what is ahead will be done

Seen: the module never set Refuse.RetryAfter, so no refusal on the sockets carried Back-Off-Ms. The advice is the work out and held over the usable lanes, bounded by MaxRetryAfter; with no usable worker it is that bound. Lines at fault: finish() in router.go.

--- a/router.go
+++ b/router.go
@@ -630,13 +630,29 @@
 	}
 	a := q.mayHaveRun()
 	if a == nil || q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Scope == ScopeAll {
-		r.act(Refuse{ID: q.ID})
+		r.act(Refuse{q.ID, r.comeBack()})
 	} else {
 		r.act(Fail{q.ID})
 	}
 	r.close(q)
 }
 
+// comeBack is the advice that goes with a refusal: when what is ahead now will be done with, at the most what
+// clients follow. With no usable worker that is not known, and it is the most.
+func (r *Router) comeBack() time.Duration {
+	if !r.set.HonoursRetry {
+		return 0
+	}
+	ahead := r.outWork
+	for _, h := range r.held {
+		ahead += r.service(h.fn)
+	}
+	if r.lanes == 0 {
+		return r.set.MaxRetryAfter
+	}
+	return min(max(seconds(ahead/r.lanes), beat), r.set.MaxRetryAfter)
+}
+
 // close marks a request as answered; it is forgotten when its last attempt has ended. What is still out is
 // called off: nobody waits for it, and where workers heed that, it makes room for others.
 func (r *Router) close(q *request) {
--- a/router_test.go
+++ b/router_test.go
@@ -142,6 +142,38 @@
 	}
 }
 
+// A refusal tells the client when to come back: when what is ahead will be done with, never later than clients
+// follow, and not at all where they are not told.
+func TestRefusalsAdvise(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		honoured bool
+		workers  int
+		outWork  float64 // seconds; one worker has 12 lanes
+		want     time.Duration
+	}{
+		{"no worker", true, 0, 0, 500 * ms},
+		{"clients are not told", false, 0, 0, 0},
+		{"little ahead", true, 1, 2.4, 200 * ms},
+		{"next to nothing ahead", true, 1, 0.001, beat},
+		{"much ahead", true, 1, 60, 500 * ms},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t, settings(func(s *Settings) {
+				s.HonoursRetry, s.MaxRetryAfter = c.honoured, 500*ms
+			}), fleet(c.workers)...)
+			b.step(ms)
+			b.r.outWork = c.outWork
+			q := &request{Request: call("a", "f"), class: &b.r.set.Classes[0]}
+			b.r.acts = nil
+			b.r.finish(q)
+			if got := only[Refuse](b.r.acts); len(got) != 1 || got[0].RetryAfter.Round(ms) != c.want {
+				t.Errorf("got %v, want one refusal with %v", got, c.want)
+			}
+		})
+	}
+}
+
 // Rule 1: one final answer, in time, whatever becomes of the request.
 func TestOneFinalAnswer(t *testing.T) {
 	t.Run("no worker", func(t *testing.T) {
