--- a/cmd/calicohill/main.go
+++ b/cmd/calicohill/main.go
@@ -31,8 +31,6 @@
 	drainFor = 700 * time.Millisecond
 	// flushFor is how long the last answers may take to leave.
 	flushFor = 50 * time.Millisecond
-	// spareSockets are kept for the listener, the bulletin, dials under way and the runtime.
-	spareSockets = 64
 )
 
 func main() {
@@ -72,7 +70,9 @@
 	d := dispatch.New(l, router, pool, cfg.Site.MaxOpen, log)
 	agents := agent.New(l, d, agent.Options{Classes: cfg.Site.ClassNames, Streams: cfg.Site.Streams,
 		IdleClose: cfg.Site.IdleClose, ConnectTimeout: cfg.Site.ConnectTimeout,
-		MaxConns: cfg.Sockets - clients - spareSockets}, log)
+		// gnet ends its loop when a connection cannot be accepted for want of descriptors: another third
+		// stays free for dials under way, the bulletin and the runtime.
+		MaxConns: cfg.Sockets / 3}, log)
 	d.Use(agents)
 	server := fastcgi.New(d, pool, &cfg.Site, clients, log)
 	watch := bulletin.New(l, cfg.Bulletin, cfg.Site.Zones, cfg.Site.Kinds, d.List, log)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -22,9 +23,9 @@
 var crlf = []byte("\r\n")
 
 const (
-	// idleMargin is kept from the time after which an agent closes an idle connection: a request written just
-	// then would meet the close, and nobody could tell whether it ran.
-	idleMargin = 2 * time.Second
+	// idleShare is the part of the time after which an agent closes an idle connection that a connection is
+	// used for: a request written just then would meet the close, and nobody could tell whether it ran.
+	idleShare = 0.85
 	// silence is how long a connection may answer nothing, with something out that was written before, until
 	// new requests go on another: a machine that was cut off gives no sign on the old one.
 	silence = time.Second
@@ -38,6 +39,8 @@
 
 // Sink is told what becomes of attempts and probes.
 type Sink interface {
+	// May reports whether an attempt may still be written: its request is open and its worker takes work.
+	May(ref slot.Ref) bool
 	Ended(ref slot.Ref, e dispatch.End)
 	Probed(worker string, took time.Duration, e dispatch.End)
 }
@@ -99,9 +102,10 @@
 	c       gnet.Conn                // nil until it is up and once it is gone
 	out     map[string]*job          // by request id
 	halted  map[string]time.Duration // when a request was given up: an answer may have crossed that
-	written time.Duration            // when the last request or probe was
-	heard   time.Duration            // when something last came
-	retired bool                     // gets nothing new
+	opened  time.Duration
+	written time.Duration // when the last request or probe was
+	heard   time.Duration // when something last came
+	retired bool          // gets nothing new
 	idle    deadline.Entry
 }
 
@@ -116,23 +120,23 @@
 	for _, e := range r.Entries {
 		seen[e.ID] = true
 		w := p.workers[e.ID]
-		if w != nil && e.State == calicohill.Gone {
-			p.drop(w)
-			continue
-		}
-		if w != nil && (e.Addr != w.addr || e.Started != w.started) {
-			// What runs there now knows nothing of the old connections: what is out on them has died.
+		if w != nil && (e.State == calicohill.Gone || e.Addr != w.addr) {
 			p.drop(w)
 			w = nil
 		}
-		if w == nil && e.State != calicohill.Gone {
-			w = &worker{id: e.ID, addr: e.Addr, started: e.Started}
+		if e.State == calicohill.Gone {
+			continue
+		}
+		if w == nil {
+			w = &worker{id: e.ID, addr: e.Addr}
 			p.workers[e.ID] = w
 		}
-		if w != nil {
-			if w.state = e.State; w.state != calicohill.Ready {
-				p.failWaiting(w, calicohill.Unsent)
-			}
+		if w.state = e.State; w.state != calicohill.Ready {
+			p.failWaiting(w, calicohill.Unsent)
+		}
+		if e.Started != w.started {
+			w.started = e.Started
+			p.closeOlder(w)
 		}
 	}
 	if r.Full {
@@ -144,13 +148,25 @@
 	}
 }
 
-// drop forgets a worker that is gone and closes its connections.
+// drop forgets a worker that is gone. What is out there may still be answered, so its connections end with
+// that; another worker at its address, or of its name, never gets to use them.
 func (p *Pool) drop(w *worker) {
 	w.state = calicohill.Gone
 	delete(p.workers, w.id)
 	p.failWaiting(w, calicohill.Unsent)
-	for _, c := range append([]*conn(nil), w.conns...) {
-		c.close()
+	for _, c := range slices.Clone(w.conns) {
+		c.retire("worker gone")
+		c.closeIfSpent()
+	}
+}
+
+// closeOlder closes a worker's connections from before its latest start. What runs there now knows nothing of
+// them: without this, requests out at a machine that came back cut off from them would wait to their end.
+func (p *Pool) closeOlder(w *worker) {
+	for _, c := range slices.Clone(w.conns) {
+		if c.opened < w.started {
+			c.close()
+		}
 	}
 }
 
@@ -322,22 +338,26 @@
 	w.dialing--
 	p.dialing--
 	c.c = gc
-	c.heard = p.loop.Now()
+	c.opened = p.loop.Now()
+	c.heard = c.opened
 	c.ref = p.conns.Put(c)
 	w.conns = append(w.conns, c)
 	c.idle.Fire = c.idled
-	p.loop.At(&c.idle, p.loop.Now()+p.opt.IdleClose-idleMargin)
+	p.loop.At(&c.idle, c.heard+p.idleAfter())
 	if w.state == calicohill.Gone {
 		c.close()
 		return
 	}
 	waiting := w.waiting
 	w.waiting = nil
-	for i, j := range waiting {
-		if pick := p.pick(j); pick != nil {
+	for _, j := range waiting {
+		// While it waited its request may have been answered, or its worker begun to drain.
+		if !j.probe && !p.sink.May(j.Ref) {
+			p.finish(j, dispatch.End{Outcome: calicohill.Unsent, Company: -1})
+		} else if pick := p.pick(j); pick != nil {
 			pick.write(j)
 		} else {
-			w.waiting = append(w.waiting, waiting[i])
+			w.waiting = append(w.waiting, j)
 		}
 	}
 	if len(w.waiting) > 0 && w.dialing == 0 {
@@ -345,9 +365,11 @@
 	}
 }
 
+func (p *Pool) idleAfter() time.Duration { return time.Duration(idleShare * float64(p.opt.IdleClose)) }
+
 // idled closes a connection on which nothing has gone for long.
 func (c *conn) idled() {
-	last, limit := max(c.written, c.heard), c.pool.opt.IdleClose-idleMargin
+	last, limit := max(c.written, c.heard), c.pool.idleAfter()
 	if now := c.pool.loop.Now(); now-last < limit || len(c.out) > 0 {
 		c.pool.loop.At(&c.idle, max(last+limit, now+limit/8))
 		return
@@ -355,7 +377,7 @@
 	c.close()
 }
 
-// write sends a job. From here on it may have run.
+// write sends a job. From here on it may have run, unless the system took nothing of it.
 func (c *conn) write(j *job) {
 	p := c.pool
 	j.c, j.written = c, p.loop.Now()
@@ -368,6 +390,16 @@
 		b = appendGo(b, &j.Attempt, p.opt.Classes[j.Class])
 	}
 	p.scratch = b
+	if c.c.OutboundBuffered() == 0 {
+		// The peer may have closed already. An error of this write means that none of it has left.
+		delete(c.out, j.ID)
+		if n, err := c.c.Write(b); n == 0 && err != nil {
+			p.finish(j, dispatch.End{Outcome: calicohill.Unreached, Company: -1})
+			return
+		}
+		c.out[j.ID] = j
+		return
+	}
 	c.send(b)
 }
 
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -22,10 +22,14 @@
 	// patience is how long a poll asks the bulletin to wait for news. Short, so that a bulletin which has
 	// fallen silent is noticed well before what it has to tell counts as told.
 	patience = 2 * time.Second
-	// overdue is how long after that an answer may come until the poll is given up.
+	// overdue is how long after that another poll is made beside one that is not answered. The first stays: a
+	// slow bulletin may yet answer it, and might never answer one that is always given up in time.
 	overdue = 500 * time.Millisecond
-	// again is the pause before the next poll where the last one failed.
-	again = 20 * time.Millisecond
+	// forsaken is how long after its making a poll is given up for good, and most how many there may be.
+	forsaken = 10 * time.Second
+	most     = 4
+	// againMin and againMax are the pauses before the next poll where polls fail.
+	againMin, againMax = 10 * time.Millisecond, 640 * time.Millisecond
 	// connectIn is how long a connection may take to come up.
 	connectIn = 250 * time.Millisecond
 )
@@ -59,16 +63,18 @@
 	"SERVING": calicohill.Ready, "DRAINING": calicohill.Draining, "DELETED": calicohill.Gone,
 }
 
-// roster reads an event's list.
-func (e *event) roster(zones, kinds []string) (dispatch.Roster, error) {
+// roster reads an event's list. A target that makes no sense is an error; with lenient it is read as far as it
+// goes, and gets no new work.
+func (e *event) roster(zones, kinds []string, lenient bool) (dispatch.Roster, error) {
 	r := dispatch.Roster{Full: e.Roster.All}
 	for _, t := range e.Roster.Targets {
 		state, ok := states[t.State]
-		if !ok || t.UID == "" {
-			return r, fmt.Errorf("target %.40q: state %.20q", t.UID, t.State)
-		}
-		if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && state != calicohill.Gone {
-			return r, fmt.Errorf("target %.40q: %w", t.UID, err)
+		_, _, err := net.SplitHostPort(t.Endpoint)
+		if t.UID == "" || !ok || err != nil && state != calicohill.Gone {
+			if !lenient {
+				return r, fmt.Errorf("target %.40q: state %.20q, endpoint %.40q", t.UID, t.State, t.Endpoint)
+			}
+			state = calicohill.Draining
 		}
 		w := calicohill.Worker{ID: t.UID, State: state, Weight: 1, Cell: t.PodGroup,
 			Zone: max(slices.Index(zones, t.AZ), 0), Kind: max(slices.Index(kinds, t.Model), 0),
@@ -95,23 +101,26 @@
 	sink         func(dispatch.Roster)
 	log          logrus.FieldLogger
 
-	last    int // number of the last event
-	c       *conn
-	down    bool // the last poll failed, and that was logged
-	overdue deadline.Entry
-	again   deadline.Entry
+	last  int           // number of the last event
+	bad   int           // number of an event that made no sense
+	conns []*conn       // with a poll made or about to be, the newest last
+	down  bool          // the last poll failed, and that was logged
+	pause time.Duration // before the next poll if this one fails
+	again deadline.Entry
 }
 
 // conn is a connection to the bulletin. It is its loop.Peer.
 type conn struct {
-	w *Watch
-	c gnet.Conn
+	w      *Watch
+	c      gnet.Conn // nil until it is up and once it is gone
+	asked  time.Duration
+	silent bool // its poll is overdue, and another was made
+	late   deadline.Entry
 }
 
 // New returns a Watch that does nothing until Start.
 func New(l Loop, addr string, zones, kinds []string, sink func(dispatch.Roster), log logrus.FieldLogger) *Watch {
-	w := &Watch{loop: l, addr: addr, zones: zones, kinds: kinds, sink: sink, log: log}
-	w.overdue.Fire = func() { w.fail(errors.New("no answer")) }
+	w := &Watch{loop: l, addr: addr, zones: zones, kinds: kinds, sink: sink, log: log, pause: againMin}
 	w.again.Fire = w.connect
 	return w
 }
@@ -127,7 +136,8 @@
 	return nil
 }
 
-// take hands on the events of an answer, in order and each once.
+// take hands on the events of an answer, in order and each once. One that makes no sense is asked for again,
+// and read as far as it goes if it comes the same: later ones may say who drains.
 func (w *Watch) take(text []byte) error {
 	var f Feed
 	if err := json.Unmarshal(text, &f); err != nil {
@@ -138,8 +148,9 @@
 			continue
 		}
 		if e.Roster != nil {
-			r, err := e.roster(w.zones, w.kinds)
+			r, err := e.roster(w.zones, w.kinds, w.bad == e.No)
 			if err != nil {
+				w.bad = e.No
 				return fmt.Errorf("event %d: %w", e.No, err)
 			}
 			w.sink(r)
@@ -152,37 +163,64 @@
 	return nil
 }
 
-// connect opens a connection for the next polls. One that comes up too late is closed by its Open.
+// connect opens a connection for the next polls.
 func (w *Watch) connect() {
-	c := &conn{w: w}
-	w.c = c
-	w.loop.At(&w.overdue, w.loop.Now()+connectIn+overdue)
-	w.loop.Dial(w.addr, connectIn, c, func(err error) {
-		if w.c == c {
-			w.fail(err)
-		}
-	})
+	c := &conn{w: w, asked: w.loop.Now()}
+	c.late.Fire = c.overdue
+	w.conns = append(w.conns, c)
+	w.loop.Dial(w.addr, connectIn, c, func(err error) { c.fail(err) })
 }
 
-// fail gives up a poll and has it made again at once, on a new connection.
-func (w *Watch) fail(err error) {
+// fail gives up a connection, and has a poll made on a new one if no other is waiting.
+func (c *conn) fail(err error) {
+	w := c.w
+	if !c.leave() {
+		return
+	}
 	if !w.down {
 		w.down = true
 		w.log.WithError(err).Warn("bulletin not heard")
 	}
-	c := w.c
-	w.c = nil
-	if c != nil && c.c != nil {
+	if len(w.conns) == 0 || w.conns[len(w.conns)-1].silent {
+		w.loop.At(&w.again, w.loop.Now()+w.pause)
+		w.pause = min(2*w.pause, againMax)
+	}
+}
+
+// leave takes a connection out and closes it. It reports false for one that had left before.
+func (c *conn) leave() bool {
+	i := slices.Index(c.w.conns, c)
+	if i < 0 {
+		return false
+	}
+	c.w.conns = slices.Delete(c.w.conns, i, i+1)
+	c.w.loop.Drop(&c.late)
+	if c.c != nil {
 		_ = c.c.EventLoop().Close(c.c)
 	}
-	w.loop.Drop(&w.overdue)
-	w.loop.At(&w.again, w.loop.Now()+again)
+	return true
+}
+
+// overdue makes another poll beside one that is not answered, and in the end gives the old one up.
+func (c *conn) overdue() {
+	w := c.w
+	if c.silent {
+		c.fail(errors.New("no answer"))
+		return
+	}
+	c.silent = true
+	w.log.Warn("bulletin slow: polled once more")
+	w.loop.At(&c.late, c.asked+forsaken)
+	if len(w.conns) >= most {
+		w.conns[0].leave()
+	}
+	w.connect()
 }
 
 // Open makes the first poll of a connection.
 func (c *conn) Open(gc gnet.Conn) {
 	c.c = gc
-	if c.w.c != c {
+	if !slices.Contains(c.w.conns, c) { // given up before it was up
 		_ = gc.EventLoop().Close(gc)
 		return
 	}
@@ -191,7 +229,8 @@
 
 func (c *conn) poll() {
 	w := c.w
-	w.loop.At(&w.overdue, w.loop.Now()+patience+overdue)
+	c.asked, c.silent = w.loop.Now(), false
+	w.loop.At(&c.late, c.asked+patience+overdue)
 	// A failed write closes the connection and is seen by Closed.
 	_, _ = c.c.Write(fmt.Appendf(nil, "GET /bulletins?after=%d&patience=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
 		w.last, patience.Milliseconds(), w.addr))
@@ -200,9 +239,6 @@
 // Traffic reads the answer to a poll and makes the next.
 func (c *conn) Traffic(gc gnet.Conn) error {
 	w := c.w
-	if w.c != c {
-		return errHTTP
-	}
 	b, err := gc.Peek(-1)
 	if err != nil || len(b) == 0 {
 		return nil
@@ -215,33 +251,34 @@
 		err = w.take(body)
 	}
 	if err != nil {
-		w.fail(err)
+		c.fail(err)
 		return nil
 	}
 	if _, err := gc.Discard(n); err != nil {
 		return fmt.Errorf("reading on: %w", err)
 	}
+	w.pause = againMin
 	if w.down {
 		w.down = false
 		w.log.Info("bulletin heard again")
 	}
-	if last {
-		w.c = nil
+	switch {
+	case c.silent: // another poll waits already
+		c.leave()
+	case last:
+		c.leave()
 		w.connect()
-		return errHTTP
+	default:
+		c.poll()
 	}
-	c.poll()
 	return nil
 }
 
 // Closed has the poll made again.
 func (c *conn) Closed(_ gnet.Conn, err error) {
 	c.c = nil
-	if c.w.c != c {
-		return
-	}
 	if err == nil {
 		err = errors.New("closed")
 	}
-	c.w.fail(err)
+	c.fail(err)
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -259,8 +259,12 @@
 	d.tell(calicohill.ProbeEnd{Worker: worker, Outcome: e.Outcome, Latency: took, Report: e.Report})
 }
 
-// May reports whether new work may go to a worker.
-func (d *Dispatcher) May(worker string) bool { return d.states[worker] == calicohill.Ready }
+// May reports whether an attempt may still be written. The client may have left, or the worker begun to drain,
+// since the Router was told last.
+func (d *Dispatcher) May(ref slot.Ref) bool {
+	a, ok := d.attempts.Get(ref)
+	return ok && !a.q.done && d.states[a.worker] == calicohill.Ready
+}
 
 // ---- the list ----
 
@@ -367,8 +371,7 @@
 	if s.Timeout > 0 {
 		until = min(until, now+s.Timeout)
 	}
-	if q.done || until <= now || !d.May(s.Worker) {
-		// The client may have left, or the worker, since the Router was told last.
+	if until <= now || !d.May(a.ref) {
 		d.end(a, End{Outcome: calicohill.Unsent, Company: -1})
 		return
 	}
