Test the real program as a process: clients, agents, bulletin, SIGTERM, bad input

Found by the race detector on the way: the loop learnt of itself from OnBoot, before gnet had started, and raced with that start (loop.OnBoot); it does so from the first tick now. Known events that make no sense end the program before it listens, with one line.

--- a/cmd/calicohill/main.go
+++ b/cmd/calicohill/main.go
@@ -75,23 +75,19 @@
 		MaxConns: cfg.Sockets / 3}, log)
 	d.Use(agents)
 	server := fastcgi.New(d, pool, &cfg.Site, clients, log)
-	watch := bulletin.New(l, cfg.Bulletin, cfg.Site.Zones, cfg.Site.Kinds, d.List, log)
+	watch, err := bulletin.New(l, cfg.Bulletin, cfg.Known, cfg.Site.Zones, cfg.Site.Kinds, d.List, log)
+	if err != nil {
+		return fmt.Errorf("configuration %s: %w", path, err)
+	}
 	l.Accept = server.Accept
-	var bootErr error
 	l.Boot = func() {
-		if bootErr = watch.Start(cfg.Known); bootErr != nil {
-			go l.Stop()
-			return
-		}
+		watch.Start()
 		go drainOnSignal(l, server, log)
 		log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen}).Info("scheduler started")
 	}
 	if err := l.Run(cfg.Listen); err != nil {
 		return err
 	}
-	if bootErr != nil {
-		return fmt.Errorf("configuration %s: %w", path, bootErr)
-	}
 	log.Info("scheduler ended")
 	return nil
 }
--- /dev/null
+++ b/cmd/calicohill/program_test.go
@@ -0,0 +1,473 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// one is a site with a single agent that answers by a script.
+func one(t *testing.T, reply func(n int, g goLine) string) (*site, *nodeAgent) {
+	t.Helper()
+	a := newAgent(t, reply)
+	s := newSite(t)
+	s.tell(true, "a SERVING "+a.addr)
+	return s.start(), a
+}
+
+func TestServed(t *testing.T) {
+	s, a := one(t, echo)
+	big := strings.Repeat("\x00\r\n=, ", 16<<10/6) + "last"
+	for _, c := range []struct {
+		name string
+		q    request
+		cut  int // bytes a write; 0 means all at once
+	}{
+		{name: "plain", q: call("consulta", "body", [2]string{"HTTP_ONCE_KEY", "-"})},
+		{name: "no body", q: call("registro-horas", "")},
+		{name: "largest body", q: call("certificado", big)},
+		{name: "padding", q: request{padding: 7, body: "padded", params: call("registro-horas", "").params}},
+		{name: "lengths of 4 bytes", q: request{long: true, body: "long", params: call("registro-horas", "").params}},
+		{name: "a byte at a time", q: request{padding: 1, body: "split", params: call("registro-horas", "").params}, cut: 1},
+		{name: "split in headers", q: call("registro-horas", "split"), cut: 11},
+		{name: "long name", q: call("consulta", "x", [2]string{"HTTP_" + strings.Repeat("X", 200), strings.Repeat("y", 300)})},
+		{name: "length told", q: call("consulta", "four", [2]string{"CONTENT_LENGTH", "4"})},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := s.front()
+			f.t = t
+			c.q.id = 300
+			b := c.q.bytes()
+			for cut := max(c.cut, 1); c.cut > 0 && len(b) > cut; b = b[cut:] {
+				f.write(b[:cut])
+			}
+			f.write(b)
+			got := f.read()
+			if got.id != 300 || got.status != 200 || got.proto != 0 || got.body != "re:"+c.q.body {
+				t.Errorf("got request %d, status %d, protocol status %d, body %.40q", got.id, got.status, got.proto, got.body)
+			}
+			had := a.had()
+			g := had[len(had)-1]
+			if ms := g.fields["patience"]; len(ms) != 4 || ms > "2400" || ms < "1000" {
+				t.Errorf("patience %q, want a little under 2400", ms)
+			}
+			delete(g.fields, "patience")
+			want := goLine{id: c.q.param("HTTP_REQUEST_ID"), body: c.q.body, fields: map[string]string{
+				"sort": strings.TrimPrefix(c.q.param("SCRIPT_NAME"), "/rpc/"), "asset": c.q.param("HTTP_RESOURCE_KEY")}}
+			if key := c.q.param("HTTP_ONCE_KEY"); key != "" {
+				want.fields["op"] = key
+			}
+			if d := cmp.Diff(want, g, cmp.AllowUnexported(goLine{})); d != "" {
+				t.Errorf("the agent had (-want +got):\n%s", d)
+			}
+		})
+	}
+}
+
+// 32 requests share a connection, and each gets the answer to itself, in whatever order they come.
+func TestMultiplexed(t *testing.T) {
+	s, _ := one(t, func(n int, g goLine) string {
+		time.Sleep(time.Duration(37*n%20) * time.Millisecond)
+		return echo(n, g)
+	})
+	f, want, got := s.front(), map[uint16]string{}, map[uint16]string{}
+	var all []byte
+	for id := uint16(1); id <= 32; id++ {
+		q := call("consulta", fmt.Sprint("body ", id))
+		q.id = id
+		want[id] = "re:" + q.body
+		all = append(all, q.bytes()...)
+	}
+	f.write(all)
+	for range want {
+		a := f.read()
+		got[a.id] = a.body
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("answers (-want +got):\n%s", d)
+	}
+}
+
+// A request that cannot be used is answered at once and reaches no agent.
+func TestRejected(t *testing.T) {
+	s, a := one(t, echo)
+	for _, c := range []struct {
+		name   string
+		q      request
+		status int
+	}{
+		{"class", call("nonsense", ""), 400},
+		{"path", call("", "", [2]string{"SCRIPT_NAME", "/other"}), 400},
+		{"no path", call("consulta", "", [2]string{"SCRIPT_NAME", "-"}), 400},
+		{"no id", call("consulta", "", [2]string{"HTTP_REQUEST_ID", "-"}), 400},
+		{"short id", call("consulta", "", [2]string{"HTTP_REQUEST_ID", "12ab"}), 400},
+		{"id not hex", call("consulta", "", [2]string{"HTTP_REQUEST_ID", "12ab12ab12ab12\r\n"}), 400},
+		{"no budget", call("consulta", "", [2]string{"HTTP_BUDGET_MS", "-"}), 400},
+		{"no time", call("consulta", "", [2]string{"HTTP_BUDGET_MS", "0"}), 400},
+		{"budget below 0", call("consulta", "", [2]string{"HTTP_BUDGET_MS", "-5"}), 400},
+		{"budget too long", call("consulta", "", [2]string{"HTTP_BUDGET_MS", "99999999999999999999"}), 400},
+		{"no function", call("consulta", "", [2]string{"HTTP_RESOURCE_KEY", "-"}), 400},
+		{"function", call("consulta", "", [2]string{"HTTP_RESOURCE_KEY", "a,b=c d e f g h "}), 400},
+		{"no key", call("registro-horas", "", [2]string{"HTTP_ONCE_KEY", "-"}), 400},
+		{"key", call("registro-horas", "", [2]string{"HTTP_ONCE_KEY", "a b"}), 400},
+		{"figures", call("consulta", "", [2]string{"HTTP_X_SPEC", "memory_mb:lots"}), 400},
+		{"figure without value", call("consulta", "", [2]string{"HTTP_X_SPEC", "lanes"}), 400},
+		{"length", call("consulta", "four", [2]string{"CONTENT_LENGTH", "5"}), 400},
+		{"body too long", call("consulta", strings.Repeat("x", 16<<10+1)), 413},
+		{"parameters too long", call("consulta", "", [2]string{"X", strings.Repeat("x", 16<<10)}), 431},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := s.front()
+			f.t = t
+			c.q.open = c.status == 413 // answered before the body ends
+			f.send(c.q)
+			if got := f.read(); got.status != c.status {
+				t.Errorf("status %d, want %d", got.status, c.status)
+			}
+		})
+	}
+	f := s.front()
+	f.send(call("consulta", "good"))
+	if got := f.read(); got.status != 200 {
+		t.Errorf("a good request after them: status %d", got.status)
+	}
+	if n := len(a.had()); n != 1 {
+		t.Errorf("the agent had %d requests, want the good one", n)
+	}
+}
+
+// What the protocol has besides requests, and what breaks it.
+func TestRecords(t *testing.T) {
+	s, _ := one(t, func(int, goLine) string { return "" })
+	begin := func(role byte) string { return string([]byte{0, role, 1, 0, 0, 0, 0, 0}) }
+	open := call("consulta", "")
+	for _, c := range []struct {
+		name    string
+		send    []byte
+		kind    byte // 0: the connection is closed
+		content string
+	}{
+		{"unknown role", rec(1, 9, 0, begin(2)), 3, "\x00\x00\x00\x00\x03\x00\x00\x00"},
+		{"unknown type", rec(99, 0, 0, "x"), 11, "\x63\x00\x00\x00\x00\x00\x00\x00"},
+		{"values", rec(9, 0, 3, "\x0f\x00FCGI_MPXS_CONNS\x02\x00no"), 10, "\x0f\x01FCGI_MPXS_CONNS1"},
+		{"abort", append(open.bytes(), rec(2, open.id, 0, "")...), 3, "\x00\x00\x00\x00\x00\x00\x00\x00"},
+		{"abort before the body", append(rec(1, 4, 0, begin(1)), rec(2, 4, 0, "")...), 3,
+			"\x00\x00\x00\x00\x00\x00\x00\x00"},
+		{"version", []byte("GET / HTTP/1.1\r\n\r\n"), 0, ""},
+		{"begun twice", append(rec(1, 4, 0, begin(1)), rec(1, 4, 0, begin(1))...), 0, ""},
+		{"begun without id", rec(1, 0, 0, begin(1)), 0, ""},
+		{"begun short", rec(1, 4, 0, "\x00"), 0, ""},
+		{"values cut short", rec(9, 0, 0, "\x7f\x7fx"), 0, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := s.front()
+			f.write(c.send)
+			kind, _, content, err := f.record()
+			if c.kind == 0 {
+				if err == nil {
+					t.Errorf("got a record of type %d, want the connection closed", kind)
+				}
+			} else if err != nil || kind != c.kind || string(content) != c.content {
+				t.Errorf("got type %d, %q, %v; want type %d, %q", kind, content, err, c.kind, c.content)
+			}
+		})
+	}
+}
+
+// What an agent does, and what its client and the other agents see of it.
+func TestAttempts(t *testing.T) {
+	first := func(word string) func(int, goLine) string {
+		return func(n int, g goLine) string {
+			if n == 1 {
+				return answerLine(g.id, word, "-", "")
+			}
+			return echo(n, g)
+		}
+	}
+	always := func(text string) func(int, goLine) string {
+		return func(_ int, g goLine) string { return strings.ReplaceAll(text, "ID", g.id) }
+	}
+	for _, c := range []struct {
+		name, class string
+		reply       func(int, goLine) string
+		status      int
+		attempts    int
+	}{
+		{"MISS proves that it never ran", "certificado", first("MISS"), 200, 2},
+		{"BUSY proves that it never ran", "certificado", first("BUSY"), 200, 2},
+		{"VOID proves that it never ran", "certificado", first("VOID"), 200, 2},
+		{"ERR may have run", "certificado", first("ERR"), 502, 1},
+		{"ERR may be repeated", "consulta", first("ERR"), 200, 2},
+		{"reset may have run", "certificado", always(hangUp), 502, 1},
+		{"nonsense may have run", "certificado", always("hello there\r\n"), 502, 1},
+		{"word may have run", "certificado", always("ID WHAT - 0\r\n\r\n"), 502, 1},
+		{"length may have run", "certificado", always("ID OK - 99999999\r\n"), 502, 1},
+		{"body that runs on", "certificado", always("ID OK - 2\r\nlong\r\n"), 502, 1},
+		{"line without end", "certificado", always(strings.Repeat("x", 5000)), 502, 1},
+		{"another's answer", "certificado", always("0000 OK - 0\r\n\r\nID OK - 0\r\n\r\n"), 200, 1},
+		{"silence", "certificado", always(""), 502, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			// Two agents of one script: where a repeat goes is the module's affair.
+			n := 0
+			s := newSite(t)
+			ask := make(chan goLine)
+			given := make(chan string)
+			go func() {
+				for g := range ask {
+					n++
+					given <- c.reply(n, g)
+				}
+			}()
+			reply := func(_ int, g goLine) string { ask <- g; return <-given }
+			a, b := newAgent(t, reply), newAgent(t, reply)
+			s.tell(true, "a SERVING "+a.addr, "b SERVING "+b.addr)
+			f := s.start().front()
+			f.send(call(c.class, "x", [2]string{"HTTP_BUDGET_MS", "900"}))
+			if got := f.read(); got.status != c.status {
+				t.Errorf("status %d, want %d", got.status, c.status)
+			}
+			if got := len(a.had()) + len(b.had()); got != c.attempts {
+				t.Errorf("%d attempts, want %d", got, c.attempts)
+			}
+		})
+	}
+}
+
+// A worker that cannot be reached has run nothing: even certificado goes elsewhere.
+func TestUnreached(t *testing.T) {
+	s, a := newSite(t), newAgent(t, echo)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	s.tell(true, "a SERVING "+a.addr, "b SERVING "+l.Addr().String())
+	f := s.start().front()
+	for i := range 8 { // over several functions, so that the dead one is some function's first
+		f.send(call("certificado", "x", [2]string{"HTTP_RESOURCE_KEY", fmt.Sprintf("%016x", i)}))
+		if got := f.read(); got.status != 200 {
+			t.Errorf("status %d, want 200", got.status)
+		}
+	}
+}
+
+// With nobody to serve it a request is refused by half its time, and told when to come again.
+func TestRefused(t *testing.T) {
+	s := newSite(t)
+	s.tell(true)
+	f := s.start().front()
+	f.send(call("certificado", "x", [2]string{"HTTP_BUDGET_MS", "600"}))
+	if got := f.read(); got.status != http.StatusServiceUnavailable || got.header.Get("Back-Off-Ms") != "500" {
+		t.Errorf("status %d, Back-Off-Ms %q; want 503 and 500", got.status, got.header.Get("Back-Off-Ms"))
+	}
+}
+
+// A client that leaves has its request given up at the agent; the id may be used again.
+func TestAbandoned(t *testing.T) {
+	s, a := one(t, func(n int, g goLine) string {
+		if n == 1 {
+			return ""
+		}
+		return echo(n, g)
+	})
+	f := s.front()
+	q := call("consulta", "x")
+	f.send(q)
+	until(t, "the request is at the agent", func() bool { return len(a.had()) == 1 })
+	f.write(rec(2, q.id, 0, ""))
+	f.read()
+	until(t, "it is given up there", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.halted) == 1 && a.halted[0] == q.param("HTTP_REQUEST_ID")
+	})
+	f.send(call("consulta", "y"))
+	if got := f.read(); got.body != "re:y" {
+		t.Errorf("the next request of that id got %d, %q", got.status, got.body)
+	}
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patient); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("it does not come true that %s", what)
+		}
+	}
+}
+
+// serves sends requests until one is answered by the wanted body, and then checks that all are.
+func serves(t *testing.T, s *site, want string) {
+	t.Helper()
+	f := s.front()
+	ask := func() string { f.send(call("consulta", "")); return f.read().body }
+	until(t, want+" answers", func() bool { return ask() == want })
+	for range 20 {
+		if got := ask(); got != want {
+			t.Fatalf("answer %q, want %q only", got, want)
+		}
+	}
+}
+
+func named(name string) func(int, goLine) string {
+	return func(_ int, g goLine) string { return answerLine(g.id, "OK", "-", name) }
+}
+
+// A worker that drains gets nothing new; a new worker at an old address gets new connections; and a bulletin
+// that answers badly is asked again.
+func TestList(t *testing.T) {
+	a, b := newAgent(t, named("a")), newAgent(t, named("b"))
+	s := newSite(t)
+	s.tell(true, "a SERVING "+a.addr)
+	s.start()
+	serves(t, s, "a")
+	s.tell(false, "a DRAINING "+a.addr, "b SERVING "+b.addr)
+	serves(t, s, "b")
+
+	a.mu.Lock()
+	had := a.conns
+	a.mu.Unlock()
+	s.tell(false, "a DELETED "+a.addr, "b DRAINING "+b.addr, "c SERVING "+a.addr)
+	serves(t, s, "a")
+	a.mu.Lock()
+	if a.conns <= had {
+		t.Errorf("the new worker at the old address had no connection of its own")
+	}
+	a.mu.Unlock()
+
+	s.mu.Lock()
+	for _, text := range []string{`{"no":`, `{"no":4,"items":[{"no":4,"roster":{"targets":[{"uid":"b","state":"?"}]}}]}`} {
+		s.spoiled = append(s.spoiled, func(w http.ResponseWriter) { io.WriteString(w, text) })
+	}
+	s.spoiled = append(s.spoiled,
+		func(w http.ResponseWriter) { http.Error(w, "later", http.StatusInternalServerError) },
+		func(http.ResponseWriter) { panic(http.ErrAbortHandler) },
+		func(w http.ResponseWriter) { w.(http.Flusher).Flush(); io.WriteString(w, s.feed(3)) }) // chunked
+	s.mu.Unlock()
+	s.tell(true, "b SERVING "+b.addr)
+	serves(t, s, "b")
+}
+
+// An idle connection is closed before the agent's time for it is up, so that no request meets that close.
+func TestIdleConnections(t *testing.T) {
+	a, s := newAgent(t, echo), newSite(t)
+	s.idleMs = 400
+	s.tell(true, "a SERVING "+a.addr)
+	f := s.start().front()
+	for range 2 {
+		f.send(call("certificado", "x"))
+		if got := f.read(); got.status != 200 {
+			t.Errorf("status %d", got.status)
+		}
+		time.Sleep(800 * time.Millisecond)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conns != 2 {
+		t.Errorf("%d connections for 2 requests far apart, want 2", a.conns)
+	}
+}
+
+// Clients hold a third of the descriptors at most; those let in are served on.
+func TestTooManyClients(t *testing.T) {
+	a, s := newAgent(t, echo), newSite(t)
+	s.sockets = 90
+	s.tell(true, "a SERVING "+a.addr)
+	s.start()
+	var fronts []*front
+	for range 30 {
+		fronts = append(fronts, s.front())
+	}
+	f := fronts[0]
+	f.send(call("consulta", "x"))
+	if got := f.read(); got.status != 200 {
+		t.Errorf("the first: status %d", got.status)
+	}
+	turned := s.front()
+	if _, _, _, err := turned.record(); err == nil {
+		t.Error("the 31st was let in")
+	}
+	for range 33 { // and the 33rd request on a connection is one too many
+		f.send(call("consulta", "x"))
+		f.read()
+	}
+}
+
+// After SIGTERM requests are served for a while, all that were taken are answered, and the exit is clean.
+func TestTerm(t *testing.T) {
+	s, a := one(t, func(n int, g goLine) string {
+		if g.body == "slow" {
+			time.Sleep(1200 * time.Millisecond)
+		}
+		return echo(n, g)
+	})
+	slow := s.front()
+	slow.send(call("certificado", "slow"))
+	until(t, "the slow request is at the agent", func() bool { return len(a.had()) == 1 })
+	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	late := s.front()
+	for range 2 {
+		late.send(call("consulta", "late"))
+		if got := late.read(); got.status != 200 {
+			t.Errorf("a request after SIGTERM: status %d", got.status)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if got := slow.read(); got.body != "re:slow" {
+		t.Errorf("the slow request: status %d", got.status)
+	}
+	select {
+	case err := <-s.ended:
+		if s.ended <- err; err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(patient):
+		t.Error("the program does not end")
+	}
+}
+
+// A configuration that cannot be used ends the program at once, with one line that says why.
+func TestBadConfiguration(t *testing.T) {
+	whole := `{"listen":"127.0.0.1:0","bulletin":"127.0.0.1:1","seed":"1","settings":` +
+		fmt.Sprintf(testSettings, 15000) + `}`
+	for _, c := range []struct{ name, text, want string }{
+		{"not JSON", "{", "unexpected end"},
+		{"no address", strings.Replace(whole, "127.0.0.1:0", "", 1), "listen"},
+		{"seed", strings.Replace(whole, `"seed":"1"`, `"seed":"x"`, 1), "seed"},
+		{"no settings", `{"listen":"127.0.0.1:0","bulletin":"127.0.0.1:1","seed":"1"}`, "no settings"},
+		{"settings", strings.Replace(whole, "read_like", "harmless", 1), "effect"},
+		{"no class", strings.Replace(whole, `"attemptsCap":4`, `"attemptsCap":0`, 1), "attempt"},
+		{"known", strings.Replace(whole, `"seed"`, `"known":{"items":7},"seed"`, 1), "known"},
+		{"sockets", strings.Replace(whole, `"seed"`, `"limits":{"sockets":3},"seed"`, 1), "sockets"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "config.json")
+			if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			cmd, log := program(t, "-config", path)
+			err := cmd.Run()
+			if line := log.String(); err == nil || !strings.Contains(line, c.want) ||
+				!strings.HasPrefix(line, "calicohill: ") || strings.Count(line, "\n") != 1 {
+				t.Errorf("ended with %v and %q, want one line with %q", err, log, c.want)
+			}
+		})
+	}
+	cmd, log := program(t)
+	if err := cmd.Run(); err == nil || !strings.Contains(log.String(), "ROUTER_CONFIG") {
+		t.Errorf("without a configuration: ended with %v and %q", err, log)
+	}
+}
--- /dev/null
+++ b/internal/agent/fuzz_test.go
@@ -0,0 +1,23 @@
+package agent
+
+import "testing"
+
+// FuzzParse reads any bytes as answers: one that is taken is whole, and no longer than the limits.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("9b1f03aa5c7e2d41 OK depth=2,l=inflight:7;util:0.61 4\r\nbody\r\n"))
+	f.Add([]byte("p1 UP l=util:NaN\r\n"))
+	f.Add([]byte("x MISS - 0\r\n\r\n\r\n"))
+	f.Add([]byte("x OK depth=-1 4294967295\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a, n, err := parse(b)
+		if err != nil {
+			return
+		}
+		if n > len(b) || len(a.body) > n || n > maxLine+maxAnswer+len(crlf) {
+			t.Fatalf("answer takes %d of %d bytes, body %d", n, len(b), len(a.body))
+		}
+		if n > 0 && (a.id == "" || a.depth < 0) {
+			t.Fatalf("answer %+v", a)
+		}
+	})
+}
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -101,6 +101,7 @@
 	sink         func(dispatch.Roster)
 	log          logrus.FieldLogger
 
+	known Feed
 	last  int           // number of the last event
 	bad   int           // number of an event that made no sense
 	conns []*conn       // with a poll made or about to be, the newest last
@@ -118,31 +119,50 @@
 	late   deadline.Entry
 }
 
-// New returns a Watch that does nothing until Start.
-func New(l Loop, addr string, zones, kinds []string, sink func(dispatch.Roster), log logrus.FieldLogger) *Watch {
+// New returns a Watch that does nothing until Start. The events known already come in the form of a poll's
+// answer.
+func New(l Loop, addr string, known []byte, zones, kinds []string, sink func(dispatch.Roster),
+	log logrus.FieldLogger) (*Watch, error) {
 	w := &Watch{loop: l, addr: addr, zones: zones, kinds: kinds, sink: sink, log: log, pause: againMin}
 	w.again.Fire = w.connect
-	return w
+	if len(known) == 0 {
+		return w, nil
+	}
+	if err := json.Unmarshal(known, &w.known); err != nil {
+		return nil, fmt.Errorf("known events: %w", err)
+	}
+	for _, e := range w.known.Items {
+		if e.Roster == nil {
+			continue
+		}
+		if _, err := e.roster(zones, kinds, false); err != nil {
+			return nil, fmt.Errorf("known event %d: %w", e.No, err)
+		}
+	}
+	return w, nil
 }
 
-// Start takes in the events known already, in the form of a poll's answer, and begins to poll.
-func (w *Watch) Start(known []byte) error {
-	if len(known) > 0 {
-		if err := w.take(known); err != nil {
-			return fmt.Errorf("known events: %w", err)
-		}
+// Start hands on the events known already and begins to poll.
+func (w *Watch) Start() {
+	if err := w.apply(&w.known); err != nil {
+		w.log.WithError(err).Error("known events") // New has read them once
 	}
+	w.known = Feed{}
 	w.connect()
-	return nil
 }
 
-// take hands on the events of an answer, in order and each once. One that makes no sense is asked for again,
-// and read as far as it goes if it comes the same: later ones may say who drains.
+// take reads an answer and hands on its events.
 func (w *Watch) take(text []byte) error {
 	var f Feed
 	if err := json.Unmarshal(text, &f); err != nil {
 		return err
 	}
+	return w.apply(&f)
+}
+
+// apply hands on events, in order and each once. One that makes no sense is asked for again, and read as far as
+// it goes if it comes the same: later ones may say who drains.
+func (w *Watch) apply(f *Feed) error {
 	for _, e := range f.Items {
 		if e.No <= w.last {
 			continue
--- /dev/null
+++ b/internal/fastcgi/fuzz_test.go
@@ -0,0 +1,28 @@
+package fastcgi
+
+import "testing"
+
+// FuzzParse reads any bytes as records, and their contents as name-value pairs: nothing may be read past its end,
+// and each record must take something.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte{1, 1, 0, 1, 0, 8, 0, 0, 0, 1, 1, 0, 0, 0, 0, 0})
+	f.Add([]byte{1, 4, 0, 1, 0, 9, 3, 0, 0x80, 0, 0, 1, 1, 'a', 'b', 0, 0, 0, 0, 0})
+	f.Add([]byte{1, 4, 0, 1, 0, 8, 0, 0, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for len(b) > 0 {
+			r, n, err := parse(b)
+			if err != nil || n == 0 {
+				return
+			}
+			if n < headerLen || n > len(b) || len(r.content) > n {
+				t.Fatalf("record takes %d of %d bytes, content %d", n, len(b), len(r.content))
+			}
+			total := 0
+			_ = pairs(r.content, func(name, value []byte) { total += len(name) + len(value) })
+			if total > len(r.content) {
+				t.Fatalf("pairs of %d bytes in %d", total, len(r.content))
+			}
+			b = b[n:]
+		}
+	})
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -38,6 +38,7 @@
 	deadlines deadline.Queue
 	timer     *time.Timer
 	armed     time.Duration // what the timer is set for; 0 means nothing
+	ticked    bool
 	err       error
 }
 
@@ -54,7 +55,7 @@
 func (l *Loop) Run(addr string) error {
 	// With its port reused, a gnet engine of one loop also accepts on that loop.
 	err := gnet.Run(l, "tcp://"+addr, gnet.WithReusePort(true), gnet.WithNumEventLoop(1),
-		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(l.Logger))
+		gnet.WithTicker(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(l.Logger))
 	if err == nil {
 		err = l.err
 	}
@@ -114,17 +115,24 @@
 	l.timer.Reset(next - now)
 }
 
-// OnBoot has the loop learn of itself: gnet tells its event loop only to a connection, so one half of a pair
-// of sockets becomes one.
+// OnBoot keeps the engine.
 func (l *Loop) OnBoot(e gnet.Engine) gnet.Action {
 	l.engine = e
-	go func() {
+	return gnet.None
+}
+
+// OnTick comes once the engine has started, from a goroutine of its own. The loop learns of itself here: gnet
+// tells its event loop only to a connection, so one half of a pair of sockets becomes one. Earlier, from OnBoot,
+// it would race with the start.
+func (l *Loop) OnTick() (time.Duration, gnet.Action) {
+	if !l.ticked {
+		l.ticked = true
 		if err := l.enrollSelf(); err != nil {
 			l.err = err
-			_ = l.Stop()
+			return time.Hour, gnet.Shutdown
 		}
-	}()
-	return gnet.None
+	}
+	return 24 * time.Hour, gnet.None
 }
 
 func (l *Loop) enrollSelf() error {
@@ -140,13 +148,11 @@
 	}
 	// The other half stays open as long as the program.
 	ctx := gnet.NewNetConnContext(gnet.NewContext(context.Background(), self{}), c)
-	for {
-		done, err := l.engine.Register(ctx)
-		if err == nil {
-			return (<-done).Err
-		}
-		time.Sleep(time.Millisecond) // the engine has booted but not started
+	done, err := l.engine.Register(ctx)
+	if err != nil {
+		return err
 	}
+	return (<-done).Err
 }
 
 // self is the peer of the connection by which the loop learns of itself.
