Count the time a request waits to be read; read answers before deadlines fire

Checked with the program stopped for 500 ms (SIGSTOP) with a request in its socket: the agent was told a patience of over 2,300 of 2,400 ms, though the client had 1,900 left; now the time unread, as the system tells it per connection (TCP_INFO), comes off the budget. Lines at fault: fastcgi.conn.Traffic and stream.stdin. Deadlines fired inside the first read after a stall (loop.settle), before answers that lay unread on other connections; they are called after the reads of the pass now. Bounded too: requests that are never completed (10 s), idle clients beyond the limit of connections, and log lines about bad requests (one a second for each kind).

--- a/cmd/calicohill/main.go
+++ b/cmd/calicohill/main.go
@@ -74,7 +74,7 @@
 		// stays free for dials under way, the bulletin and the runtime.
 		MaxConns: cfg.Sockets / 3}, log)
 	d.Use(agents)
-	server := fastcgi.New(d, pool, &cfg.Site, clients, log)
+	server := fastcgi.New(l, d, pool, &cfg.Site, clients, log)
 	watch, err := bulletin.New(l, cfg.Bulletin, cfg.Known, cfg.Site.Zones, cfg.Site.Kinds, d.List, log)
 	if err != nil {
 		return fmt.Errorf("configuration %s: %w", path, err)
--- a/cmd/calicohill/program_test.go
+++ b/cmd/calicohill/program_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -272,6 +273,27 @@
 	}
 }
 
+// What a request waits to be read comes off its time: here the program stands still meanwhile.
+func TestReadLate(t *testing.T) {
+	s, a := one(t, echo)
+	f := s.front()
+	f.send(call("consulta", "x")) // the connection is known to the program
+	f.read()
+	if err := s.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	f.send(call("consulta", "x"))
+	time.Sleep(500 * time.Millisecond)
+	if err := s.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	f.read()
+	had := a.had()
+	if ms, err := strconv.Atoi(had[len(had)-1].fields["patience"]); err != nil || ms > 2000 {
+		t.Errorf("patience %d after 500 of 2400 ms have gone by", ms)
+	}
+}
+
 // A client that leaves has its request given up at the agent; the id may be used again.
 func TestAbandoned(t *testing.T) {
 	s, a := one(t, func(n int, g goLine) string {
--- a/internal/fastcgi/server.go
+++ b/internal/fastcgi/server.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 
 	"calicohill/internal/buffer"
+	"calicohill/internal/deadline"
 	"calicohill/internal/dispatch"
 	"calicohill/internal/loop"
 	"calicohill/internal/settings"
@@ -20,6 +22,13 @@
 
 const (
 	maxStreams = 32 // requests that a connection may have open
+	// wholeWithin is how long a request may take from its first record to its last.
+	wholeWithin = 10 * time.Second
+	// clientIdle is how long after its last request a client closes a connection by itself. One idle for longer
+	// makes room for another when there are too many.
+	clientIdle = 4 * time.Second
+	// logEvery is how often each kind of complaint about clients is logged at the most.
+	logEvery = time.Second
 	// backlog is how much may wait unsent for a client until it counts as not reading.
 	backlog = 4 << 20
 )
@@ -31,8 +40,16 @@
 	Ready() bool
 }
 
+// Loop is what a Server needs of the event loop.
+type Loop interface {
+	Now() time.Duration
+	At(*deadline.Entry, time.Duration)
+	Drop(*deadline.Entry)
+}
+
 // Server holds the clients' connections. It is a dispatch.Caller.
 type Server struct {
+	loop       Loop
 	dispatcher Dispatcher
 	pool       *buffer.Pool
 	site       *settings.Site
@@ -40,16 +57,25 @@
 	maxConns   int
 	log        logrus.FieldLogger
 
-	conns   int
+	conns   map[*conn]struct{}
 	streams slot.Table[*stream]
+	logged  map[string]complaint // by message
 	scratch []byte
 }
 
+// complaint is when a message was last logged, and how often it was left out since.
+type complaint struct {
+	at   time.Duration
+	more int
+}
+
 // conn is a client's connection. It is its loop.Peer.
 type conn struct {
 	s       *Server
 	c       gnet.Conn // nil once it is gone
 	streams map[uint16]*stream
+	active  time.Duration // when bytes last came
+	unread  time.Duration // how long those had waited to be read
 }
 
 // stream is a request on a connection, from its BEGIN_REQUEST to its END_REQUEST.
@@ -61,13 +87,15 @@
 	params, body *buffer.Buffer
 	fields       fields
 	call         dispatch.Call
-	named        bool     // the parameters are complete
-	taken        slot.Ref // the dispatcher's; 0 until it has the request
+	named        bool           // the parameters are complete
+	taken        slot.Ref       // the dispatcher's; 0 until it has the request
+	late         deadline.Entry // for the rest of the request
 }
 
 // New returns a Server that lets in at most maxConns connections.
-func New(d Dispatcher, pool *buffer.Pool, site *settings.Site, maxConns int, log logrus.FieldLogger) *Server {
-	s := &Server{dispatcher: d, pool: pool, site: site, classes: map[string]int{}, maxConns: maxConns, log: log}
+func New(l Loop, d Dispatcher, pool *buffer.Pool, site *settings.Site, maxConns int, log logrus.FieldLogger) *Server {
+	s := &Server{loop: l, dispatcher: d, pool: pool, site: site, classes: map[string]int{}, maxConns: maxConns,
+		conns: map[*conn]struct{}{}, logged: map[string]complaint{}, log: log}
 	for i, name := range site.ClassNames {
 		s.classes[name] = i
 	}
@@ -76,12 +104,45 @@
 
 // Accept takes a connection in, or nil if there are too many.
 func (s *Server) Accept(c gnet.Conn) loop.Peer {
-	if s.conns >= s.maxConns {
-		s.log.WithField("connections", s.conns).Warn("client turned away: too many connections")
+	if len(s.conns) >= s.maxConns && !s.closeIdlest() {
+		s.complain("client turned away: too many connections", nil)
 		return nil
 	}
-	s.conns++
-	return &conn{s: s, c: c, streams: map[uint16]*stream{}}
+	in := &conn{s: s, c: c, streams: map[uint16]*stream{}, active: s.loop.Now()}
+	s.conns[in] = struct{}{}
+	return in
+}
+
+// closeIdlest closes the connection that has been idle for longest, if its client should have closed it.
+func (s *Server) closeIdlest() bool {
+	var idlest *conn
+	for c := range s.conns {
+		if len(c.streams) == 0 && (idlest == nil || c.active < idlest.active) {
+			idlest = c
+		}
+	}
+	if idlest == nil || s.loop.Now()-idlest.active <= clientIdle {
+		return false
+	}
+	idlest.close()
+	return true
+}
+
+// complain logs what clients do wrong, each message once in a while: thousands of bad requests must not become
+// thousands of lines.
+func (s *Server) complain(message string, err error) {
+	l, now := s.logged[message], s.loop.Now()
+	if l.at > 0 && now-l.at < logEvery {
+		l.more++
+		s.logged[message] = l
+		return
+	}
+	s.logged[message] = complaint{at: now}
+	e := s.log.WithField("more", l.more)
+	if err != nil {
+		e = e.WithError(err)
+	}
+	e.Warn(message)
 }
 
 // Streams is the number of requests begun and not ended.
@@ -112,6 +173,7 @@
 
 // Traffic reads records.
 func (c *conn) Traffic(gc gnet.Conn) error {
+	c.active, c.unread = c.s.loop.Now(), loop.Unread(gc)
 	for {
 		b, err := gc.Peek(-1)
 		if err != nil || len(b) == 0 {
@@ -125,7 +187,7 @@
 			err = c.record(r)
 		}
 		if err != nil {
-			c.s.log.WithError(err).Warn("client closed: it cannot be understood")
+			c.s.complain("client closed: it cannot be understood", err)
 			return err
 		}
 		if c.c == nil {
@@ -197,8 +259,10 @@
 		st.end(appendEnd(s.scratch[:0], r.id, statusUnknownRole))
 		return nil
 	}
+	st.late.Fire = func() { st.reject(http.StatusRequestTimeout, errors.New("not whole in time")) }
+	s.loop.At(&st.late, s.loop.Now()+wholeWithin)
 	if st.params = s.pool.Get(); st.params == nil || len(c.streams) > maxStreams {
-		s.log.WithField("streams", s.streams.Len()).Warn("request refused: too many are open")
+		s.complain("request refused: too many are open", nil)
 		st.end(appendEnd(s.scratch[:0], r.id, statusOverloaded))
 	}
 	return nil
@@ -212,7 +276,7 @@
 	// An error closes the connection and is seen by Closed.
 	_, _ = c.c.Write(b)
 	if c.c != nil && c.c.OutboundBuffered() > backlog {
-		c.s.log.Warn("client closed: it does not read")
+		c.s.complain("client closed: it does not read", nil)
 		c.close()
 	}
 }
@@ -227,7 +291,7 @@
 // Closed gives up all that was open.
 func (c *conn) Closed(gnet.Conn, error) {
 	c.c = nil
-	c.s.conns--
+	delete(c.s.conns, c)
 	for _, st := range c.streams {
 		st.forget()
 		if st.taken != 0 {
@@ -272,7 +336,7 @@
 	if len(b) > 0 {
 		if st.body == nil {
 			if st.body = s.pool.Get(); st.body == nil {
-				s.log.WithField("streams", s.streams.Len()).Warn("request refused: too many are open")
+				s.complain("request refused: too many are open", nil)
 				st.end(appendEnd(s.scratch[:0], st.id, statusOverloaded))
 				return
 			}
@@ -299,14 +363,18 @@
 		return
 	}
 	st.call.Body = st.body
+	// The client's time runs from its last byte, which may have waited here to be read.
+	st.call.Budget = max(st.call.Budget-st.conn.unread, 0)
 	ref, err := s.dispatcher.Take(st.call, s, st.ref)
 	switch {
 	case errors.Is(err, dispatch.ErrFull):
+		s.complain("request refused: too many are open", nil)
 		st.end(appendEnd(s.scratch[:0], st.id, statusOverloaded))
 	case err != nil:
 		st.reject(http.StatusBadRequest, err)
 	default:
 		st.taken, st.body = ref, nil
+		s.loop.Drop(&st.late)
 	}
 }
 
@@ -328,7 +396,7 @@
 }
 
 func (st *stream) reject(status int, err error) {
-	st.conn.s.log.WithError(err).WithField("status", status).Warn("request rejected")
+	st.conn.s.complain("request rejected", fmt.Errorf("status %d: %w", status, err))
 	st.respond(status, "", nil)
 }
 
@@ -353,6 +421,7 @@
 // forget gives back what the request holds.
 func (st *stream) forget() {
 	s := st.conn.s
+	s.loop.Drop(&st.late)
 	s.streams.Free(st.ref)
 	s.pool.Put(st.params)
 	s.pool.Put(st.body)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -38,6 +38,7 @@
 	deadlines deadline.Queue
 	timer     *time.Timer
 	armed     time.Duration // what the timer is set for; 0 means nothing
+	firing    bool          // fire is posted
 	ticked    bool
 	err       error
 }
@@ -48,6 +49,16 @@
 	return &Loop{start: now, unix: time.Duration(now.UnixNano())}
 }
 
+// Unread is how long ago a connection's latest bytes came in, while they wait to be read; 0 if not known. After a
+// stall it is what the loop must make up for.
+func Unread(c gnet.Conn) time.Duration {
+	info, err := unix.GetsockoptTCPInfo(c.Fd(), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
 // Now is the Unix time. It advances steadily, whatever is done to the system's clock meanwhile.
 func (l *Loop) Now() time.Duration { return l.unix + time.Since(l.start) }
 
@@ -101,18 +112,33 @@
 	}()
 }
 
-// settle calls what is due and sets the timer for what is not. It ends every turn of the loop.
+// settle has what is due called, and sets the timer for what is not. It ends every turn of the loop.
+//
+// What is due is called after the connections that have something to read in this pass: after a stall an answer
+// may lie there unread that a deadline would give up.
 func (l *Loop) settle() {
+	next, ok := l.deadlines.Next()
+	if !ok || l.firing {
+		return
+	}
+	now := l.Now()
+	if next <= now {
+		l.firing = true
+		l.Post(l.fire)
+		return
+	}
+	if l.armed == 0 || next < l.armed {
+		l.armed = next
+		l.timer.Reset(next - now)
+	}
+}
+
+func (l *Loop) fire() {
+	l.firing = false
 	now := l.Now()
 	for e := l.deadlines.Due(now); e != nil; e = l.deadlines.Due(now) {
 		e.Fire()
 	}
-	next, ok := l.deadlines.Next()
-	if !ok || l.armed > 0 && l.armed <= next {
-		return
-	}
-	l.armed = next
-	l.timer.Reset(next - now)
 }
 
 // OnBoot keeps the engine.
@@ -166,7 +192,7 @@
 func (l *Loop) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
 	if l.events == nil {
 		l.events = c.EventLoop()
-		l.timer = time.AfterFunc(time.Hour, func() { l.Post(func() { l.armed = 0 }) })
+		l.timer = time.AfterFunc(time.Hour, func() { l.Post(func() { l.armed = 0; l.fire() }) })
 		l.Boot()
 	}
 	p, ok := c.Context().(Peer)
