--- a/internal/fastcgi/call.go
+++ b/internal/fastcgi/call.go
@@ -35,10 +35,12 @@
 
 // call checks the fields of a request. What passes can be written to a worker as it is.
 func (f *fields) call(site *settings.Site, classes map[string]int) (c dispatch.Call, err error) {
-	name, ok := strings.CutPrefix(f.path, "/rpc/")
-	if c.Class, ok = classes[name]; !ok {
+	name, under := strings.CutPrefix(f.path, "/rpc/")
+	class, ok := classes[name]
+	if !under || !ok {
 		return c, fmt.Errorf("path %.40q", f.path)
 	}
+	c.Class = class
 	if !isHex16(f.id) {
 		return c, fmt.Errorf("Request-Id %.40q", f.id)
 	}
