--- a/cmd/calicohill/program_test.go
+++ b/cmd/calicohill/program_test.go
@@ -287,6 +287,10 @@
 	if err := s.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
+	until(t, "the program stands still", func() bool {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", s.cmd.Process.Pid))
+		return err == nil && strings.Contains(string(text), ") T ")
+	})
 	f.send(call("consulta", "x"))
 	time.Sleep(500 * time.Millisecond)
 	if err := s.cmd.Process.Signal(syscall.SIGCONT); err != nil {
@@ -312,7 +316,7 @@
 		return echo(n, g)
 	})
 	first, second := s.front(), s.front()
-	first.send(call("consulta", "lost"))
+	first.send(call("consulta", "lost", [2]string{"HTTP_BUDGET_MS", "3000"}))
 	until(t, "the first request is at the agent", func() bool { return len(a.had()) == 1 })
 	time.Sleep(1200 * time.Millisecond)
 	second.send(call("consulta", "found"))
@@ -450,22 +454,22 @@
 	}
 }
 
-// A connection carries 32 requests: one more is refused at once.
+// A connection carries 32 requests, whole or not: one more is refused at once.
 func TestTooManyRequests(t *testing.T) {
-	s, _ := one(t, func(int, goLine) string { return "" })
+	s, _ := one(t, echo)
 	f := s.front()
 	for id := uint16(1); id <= 33; id++ {
 		q := call("consulta", "x")
-		q.id = id
+		q.id, q.open = id, true
 		f.send(q)
 	}
-	got := f.read()
-	for got.id != 33 && got.proto == 0 && !t.Failed() { // the module refuses some by itself
-		got = f.read()
-	}
-	if got.id != 33 || got.proto != 2 {
+	if got := f.read(); got.id != 33 || got.proto != 2 {
 		t.Errorf("request %d ended with protocol status %d, want 33 overloaded", got.id, got.proto)
 	}
+	f.write(rec(5, 7, 0, "")) // the others go on
+	if got := f.read(); got.id != 7 || got.body != "re:x" {
+		t.Errorf("then request %d ended with %d, want 7 served", got.id, got.status)
+	}
 }
 
 // After SIGTERM requests are served for a while, all that were taken are answered, and the exit is clean.
