Leave a connection that loses three requests in a row; end in time with half a request open

Checked by a test: with an agent that is deaf on its first connection, requests of 300 ms were given up one after the other and never tripped the second of silence that retires a connection (agent.Halt); none was served in 20 s. Three lost in a row with nothing heard retire it now. After SIGTERM the exit waited up to 10 s for a request that had begun and never became whole (drainOnSignal); it waits 1 s, and for as long as it takes for requests that were taken. A write that fails after the system took part of it ends its attempt at once as a reset, not at its time-out.

--- a/cmd/calicohill/main.go
+++ b/cmd/calicohill/main.go
@@ -29,8 +29,10 @@
 const (
 	// drainFor is how long after SIGTERM requests still come: the platform turns clients away meanwhile.
 	drainFor = 700 * time.Millisecond
-	// flushFor is how long the last answers may take to leave.
-	flushFor = 50 * time.Millisecond
+	// unfinished is how much longer the rest of a request that has begun to come is waited for.
+	unfinished = time.Second
+	// lookEvery is how often it is seen whether all is answered, and so how long the last answers may take to leave.
+	lookEvery = 50 * time.Millisecond
 )
 
 func main() {
@@ -67,7 +69,7 @@
 	clients := cfg.Sockets / 3
 	// A third of the memory may go into what is read and not answered yet.
 	pool := buffer.NewPool(cfg.MemoryMB << 20 / 3 / buffer.Size)
-	d := dispatch.New(l, router, pool, cfg.Site.MaxOpen, log)
+	d := dispatch.New(l, router, pool, cfg.Site.MaxOpen)
 	agents := agent.New(l, d, agent.Options{Classes: cfg.Site.ClassNames, Streams: cfg.Site.Streams,
 		IdleClose: cfg.Site.IdleClose, ConnectTimeout: cfg.Site.ConnectTimeout,
 		// gnet ends its loop when a connection cannot be accepted for want of descriptors: another third
@@ -82,7 +84,7 @@
 	l.Accept = server.Accept
 	l.Boot = func() {
 		watch.Start()
-		go drainOnSignal(l, server, log)
+		go drainOnSignal(l, d, server, log)
 		log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen}).Info("scheduler started")
 	}
 	if err := l.Run(cfg.Listen); err != nil {
@@ -93,20 +95,20 @@
 }
 
 // drainOnSignal waits for SIGTERM and stops the loop once requests have ceased to come and all are answered.
-func drainOnSignal(l *loop.Loop, server *fastcgi.Server, log *logrus.Logger) {
+func drainOnSignal(l *loop.Loop, d *dispatch.Dispatcher, server *fastcgi.Server, log *logrus.Logger) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	s := <-signals
 	l.Post(func() {
 		log.WithField("signal", s.String()).Info("draining")
-		wait := &deadline.Entry{}
+		wait, from := &deadline.Entry{}, l.Now()
 		wait.Fire = func() {
-			if server.Streams() > 0 {
-				l.At(wait, l.Now()+flushFor)
+			if d.Open() > 0 || server.Streams() > 0 && l.Now()-from < drainFor+unfinished {
+				l.At(wait, l.Now()+lookEvery)
 				return
 			}
 			go l.Stop()
 		}
-		l.At(wait, l.Now()+drainFor)
+		l.At(wait, from+drainFor)
 	})
 }
--- a/cmd/calicohill/program_test.go
+++ b/cmd/calicohill/program_test.go
@@ -303,11 +303,9 @@
 	}
 }
 
-// A connection that has answered nothing for long, though asked, gets nothing new: its machine may be cut off,
-// which gives no sign, and be back under the same name.
-func TestSilentConnection(t *testing.T) {
-	var a *nodeAgent
-	s, a := one(t, func(n int, g goLine) string {
+// deaf is a site with an agent that answers on its first connection nothing.
+func deaf(t *testing.T) (s *site, a *nodeAgent) {
+	s, a = one(t, func(n int, g goLine) string {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		if a.conns == 1 {
@@ -315,6 +313,13 @@
 		}
 		return echo(n, g)
 	})
+	return s, a
+}
+
+// A connection that has answered nothing for long, though asked, gets nothing new: its machine may be cut off,
+// which gives no sign, and be back under the same name.
+func TestSilentConnection(t *testing.T) {
+	s, a := deaf(t)
 	first, second := s.front(), s.front()
 	first.send(call("consulta", "lost", [2]string{"HTTP_BUDGET_MS", "3000"}))
 	until(t, "the first request is at the agent", func() bool { return len(a.had()) == 1 })
@@ -328,6 +333,16 @@
 	}
 }
 
+// The same where clients give up before that: a few requests lost in a row tell as much.
+func TestLostRequests(t *testing.T) {
+	s, _ := deaf(t)
+	f := s.front()
+	until(t, "a request is served on a new connection", func() bool {
+		f.send(call("consulta", "x", [2]string{"HTTP_BUDGET_MS", "300"}))
+		return f.read().status == 200
+	})
+}
+
 // A client that leaves has its request given up at the agent; the id may be used again.
 func TestAbandoned(t *testing.T) {
 	s, a := one(t, func(n int, g goLine) string {
@@ -480,7 +495,10 @@
 		}
 		return echo(n, g)
 	})
-	slow := s.front()
+	never, slow := s.front(), s.front()
+	half := call("consulta", "half") // of a request that is never whole, nothing is owed
+	half.open = true
+	never.send(half)
 	slow.send(call("certificado", "slow"))
 	until(t, "the slow request is at the agent", func() bool { return len(a.had()) == 1 })
 	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -29,6 +29,9 @@
 	// silence is how long a connection may answer nothing, with something out that was written before, until
 	// new requests go on another: a machine that was cut off gives no sign on the old one.
 	silence = time.Second
+	// lostMost is how many requests in a row may be given up on a connection that answered nothing meanwhile:
+	// those of impatient clients end before silence is noticed.
+	lostMost = 3
 	// perWorker is how many connections to one worker may be open, silent ones included.
 	perWorker = 6
 	// crossing is how long after a request was given up its answer may still come.
@@ -105,6 +108,7 @@
 	opened  time.Duration
 	written time.Duration // when the last request or probe was
 	heard   time.Duration // when something last came
+	lost    int           // requests given up since
 	retired bool          // gets nothing new
 	idle    deadline.Entry
 }
@@ -319,8 +323,10 @@
 	if !p.forget(j) {
 		return false
 	}
-	if now := p.loop.Now(); c.heard < j.written && now-j.written > silence {
-		c.retire("silent")
+	if c.heard < j.written {
+		if c.lost++; c.lost >= lostMost || p.loop.Now()-j.written > silence {
+			c.retire("silent")
+		}
 	}
 	if c.c != nil {
 		p.scratch = append(append(append(p.scratch[:0], "halt "...), j.ID...), crlf...)
@@ -393,11 +399,14 @@
 	if c.c.OutboundBuffered() == 0 {
 		// The peer may have closed already. An error of this write means that none of it has left.
 		delete(c.out, j.ID)
-		if n, err := c.c.Write(b); n == 0 && err != nil {
+		switch n, err := c.c.Write(b); {
+		case err == nil:
+			c.out[j.ID] = j
+		case n == 0:
 			p.finish(j, dispatch.End{Outcome: calicohill.Unreached, Company: -1})
-			return
+		default:
+			p.finish(j, dispatch.End{Outcome: calicohill.Reset, Company: -1})
 		}
-		c.out[j.ID] = j
 		return
 	}
 	c.send(b)
@@ -429,7 +438,7 @@
 
 // Traffic reads answers.
 func (c *conn) Traffic(gc gnet.Conn) error {
-	c.heard = c.pool.loop.Now()
+	c.heard, c.lost = c.pool.loop.Now(), 0
 	for {
 		b, err := gc.Peek(-1)
 		if err != nil || len(b) == 0 {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,8 +12,6 @@
 	"calicohill/internal/buffer"
 	"calicohill/internal/deadline"
 	"calicohill/internal/slot"
-
-	"github.com/sirupsen/logrus"
 )
 
 // Call is a client's request.
@@ -116,7 +114,6 @@
 	workers Workers
 	pool    *buffer.Pool
 	maxOpen int
-	log     logrus.FieldLogger
 
 	requests slot.Table[*request]
 	byID     map[string]slot.Ref
@@ -150,8 +147,8 @@
 }
 
 // New returns a Dispatcher. Use must be called before anything else.
-func New(l Loop, r *calicohill.Router, pool *buffer.Pool, maxOpen int, log logrus.FieldLogger) *Dispatcher {
-	return &Dispatcher{loop: l, router: r, pool: pool, maxOpen: maxOpen, log: log,
+func New(l Loop, r *calicohill.Router, pool *buffer.Pool, maxOpen int) *Dispatcher {
+	return &Dispatcher{loop: l, router: r, pool: pool, maxOpen: maxOpen,
 		byID: map[string]slot.Ref{}, states: map[string]calicohill.WorkerState{}}
 }
 
