Let a restart bind its address at once; test a killed scheduler's return

Checked: gnet sets SO_REUSEPORT alone (loop.Run); the address is reused too now, so that no connection of the life before can keep a restart out. The test kills the program with a request out and starts it at the same address.

--- a/cmd/calicohill/program_test.go
+++ b/cmd/calicohill/program_test.go
@@ -523,6 +523,28 @@
 	}
 }
 
+// A scheduler that is killed starts again at its address, whatever became of its connections, and is told the list.
+func TestRestart(t *testing.T) {
+	s, a := one(t, func(n int, g goLine) string {
+		if g.body == "lost" {
+			return ""
+		}
+		return echo(n, g)
+	})
+	s.front().send(call("consulta", "lost"))
+	until(t, "the request is at the agent", func() bool { return len(a.had()) == 1 })
+	if err := s.cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	<-s.ended
+	s.start()
+	f := s.front()
+	f.send(call("consulta", "again"))
+	if got := f.read(); got.body != "re:again" {
+		t.Errorf("after the restart: status %d", got.status)
+	}
+}
+
 // A configuration that cannot be used ends the program at once, with one line that says why.
 func TestBadConfiguration(t *testing.T) {
 	whole := `{"listen":"127.0.0.1:0","bulletin":"127.0.0.1:1","seed":"1","settings":` +
--- a/cmd/calicohill/rig_test.go
+++ b/cmd/calicohill/rig_test.go
@@ -69,6 +69,7 @@
 	events   []string // of the bulletin
 	changed  chan struct{}
 	spoiled  []func(http.ResponseWriter) // answers to the next polls, in place of the events
+	started  bool
 	idleMs   int
 	sockets  int
 	bulletin *httptest.Server
@@ -134,12 +135,14 @@
 // start runs the program with the events told so far, and waits until it is healthy.
 func (s *site) start() *site {
 	s.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		s.t.Fatal(err)
+	if s.addr == "" {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.addr = l.Addr().String()
+		l.Close()
 	}
-	s.addr = l.Addr().String()
-	l.Close()
 	s.mu.Lock()
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": s.addr, "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": s.sockets},
@@ -159,7 +162,10 @@
 	}
 	s.ended = make(chan error, 1)
 	go func() { s.ended <- s.cmd.Wait() }()
-	s.t.Cleanup(s.stop)
+	if !s.started {
+		s.started = true
+		s.t.Cleanup(s.stop)
+	}
 	for end := time.Now().Add(patient); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if c, err := net.Dial("tcp", s.addr); err == nil {
 			f := &front{t: s.t, c: c, r: bufio.NewReader(c)}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -64,8 +64,9 @@
 
 // Run listens on an address and serves until Stop.
 func (l *Loop) Run(addr string) error {
-	// With its port reused, a gnet engine of one loop also accepts on that loop.
-	err := gnet.Run(l, "tcp://"+addr, gnet.WithReusePort(true), gnet.WithNumEventLoop(1),
+	// With its port reused, a gnet engine of one loop also accepts on that loop. With its address reused, a
+	// restart is not kept out by connections of the life before that have not quite ended.
+	err := gnet.Run(l, "tcp://"+addr, gnet.WithReusePort(true), gnet.WithReuseAddr(true), gnet.WithNumEventLoop(1),
 		gnet.WithTicker(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(l.Logger))
 	if err == nil {
 		err = l.err
