Heed SIGHUP: read the configuration again and move the bulletin, events going on

Now signals are heeded before anything is served; SIGHUP reads the file off the loop, drops the polls at the old address at once and asks the new one after the last event. An unusable file leaves one log line. Only the bulletin's address is taken from the new file: 'known' is of the start and may be older than what is held.

--- a/cmd/calicohill/main.go
+++ b/cmd/calicohill/main.go
@@ -81,10 +81,31 @@
 	if err != nil {
 		return fmt.Errorf("configuration %s: %w", path, err)
 	}
+	// Told before anything is served: a SIGHUP that nobody heeds ends the program.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	reload := func(os.Signal) {
+		// Only the address of the bulletin is taken from the new file: what is out, and all that was learned,
+		// stands. A file that cannot be used changes nothing, or a slip of the pen would end a good scheduler.
+		next, err := config.Read(path, name, listen)
+		if err != nil {
+			log.WithError(err).Error("configuration not read again: the old one stands")
+			return
+		}
+		l.Post(func() { watch.Move(next.Bulletin) })
+		log.WithField("bulletin", next.Bulletin).Info("configuration read again")
+	}
+	draining := false
 	l.Accept = server.Accept
 	l.Boot = func() {
 		watch.Start()
-		go drainOnSignal(l, d, server, log)
+		go heed(signals, l, reload, func(s os.Signal) {
+			if !draining {
+				draining = true
+				log.WithField("signal", s.String()).Info("draining")
+				drain(l, d, server)
+			}
+		})
 		log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen}).Info("scheduler started")
 	}
 	if err := l.Run(cfg.Listen); err != nil {
@@ -94,21 +115,27 @@
 	return nil
 }
 
-// drainOnSignal waits for SIGTERM and stops the loop once requests have ceased to come and all are answered.
-func drainOnSignal(l *loop.Loop, d *dispatch.Dispatcher, server *fastcgi.Server, log *logrus.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	s := <-signals
-	l.Post(func() {
-		log.WithField("signal", s.String()).Info("draining")
-		wait, from := &deadline.Entry{}, l.Now()
-		wait.Fire = func() {
-			if d.Open() > 0 || server.Streams() > 0 && l.Now()-from < drainFor+unfinished {
-				l.At(wait, l.Now()+lookEvery)
-				return
-			}
-			go l.Stop()
+// heed acts on signals for as long as the program runs: SIGHUP has the configuration read again, SIGTERM or an
+// interrupt begins the end.
+func heed(signals <-chan os.Signal, l *loop.Loop, reload, drain func(os.Signal)) {
+	for s := range signals {
+		if s == syscall.SIGHUP {
+			reload(s)
+			continue
 		}
-		l.At(wait, from+drainFor)
-	})
+		l.Post(func() { drain(s) })
+	}
+}
+
+// drain stops the loop once requests have ceased to come and all are answered.
+func drain(l *loop.Loop, d *dispatch.Dispatcher, server *fastcgi.Server) {
+	wait, from := &deadline.Entry{}, l.Now()
+	wait.Fire = func() {
+		if d.Open() > 0 || server.Streams() > 0 && l.Now()-from < drainFor+unfinished {
+			l.At(wait, l.Now()+lookEvery)
+			return
+		}
+		go l.Stop()
+	}
+	l.At(wait, from+drainFor)
 }
--- a/cmd/calicohill/program_test.go
+++ b/cmd/calicohill/program_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -546,6 +547,53 @@
 }
 
 // A configuration that cannot be used ends the program at once, with one line that says why.
+// SIGHUP has the bulletin asked at the address that the file names by then, from the last event on. A file that
+// cannot be used changes nothing, and a request that is out notices neither.
+func TestReload(t *testing.T) {
+	a, b, c := newAgent(t, named("a")), newAgent(t, named("b")), newAgent(t, named("c"))
+	release := make(chan struct{})
+	held := newAgent(t, func(n int, g goLine) string {
+		<-release
+		return named("held")(n, g)
+	})
+	s := newSite(t)
+	s.tell(true, "a SERVING "+a.addr)
+	s.tell(true, "held SERVING "+held.addr)
+	s.start()
+	out := s.front()
+	out.send(call("certificado", "", [2]string{"HTTP_BUDGET_MS", "60000"}))
+	until(t, "a request is out", func() bool { return len(held.had()) == 1 })
+
+	hup := func(want string) {
+		t.Helper()
+		if err := s.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		until(t, "the log says "+want, func() bool { return strings.Contains(s.log.String(), want) })
+	}
+	if err := os.WriteFile(s.config, []byte(`{"bulletin":`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	hup("configuration not read again")
+	s.tell(true, "b SERVING "+b.addr)
+	serves(t, s, "b")
+
+	// The old address keeps its poll open and tells nothing more.
+	old, at := s.bulletin, s.bulletin.Listener.Addr().String()
+	s.bulletin = httptest.NewServer(http.HandlerFunc(s.poll))
+	old.Listener.Close()
+	s.configure()
+	hup("configuration read again")
+	s.tell(true, "c SERVING "+c.addr)
+	serves(t, s, "c")
+	until(t, "the old polls end", func() bool { return s.count(at, 0) == 0 })
+	close(release)
+	if got := out.read(); got.status != 200 || got.body != "held" {
+		t.Errorf("the request that was out got status %d, body %q", got.status, got.body)
+	}
+	old.Close()
+}
+
 func TestBadConfiguration(t *testing.T) {
 	whole := `{"listen":"127.0.0.1:0","bulletin":"127.0.0.1:1","seed":"1","settings":` +
 		fmt.Sprintf(testSettings, 15000) + `}`
--- a/cmd/calicohill/rig_test.go
+++ b/cmd/calicohill/rig_test.go
@@ -33,13 +33,13 @@
 }
 
 // program runs the real program and collects what it logs.
-func program(t *testing.T, args ...string) (*exec.Cmd, *bytes.Buffer) {
+func program(t *testing.T, args ...string) (*exec.Cmd, *lines) {
 	t.Helper()
 	self, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	cmd, log := exec.Command(self, args...), &bytes.Buffer{}
+	cmd, log := exec.Command(self, args...), &lines{}
 	cmd.Env = append(os.Environ(), "CALICOHILL_AS_PROGRAM=1", "ROUTER_CONFIG=", "ROUTER_NAME=", "ROUTER_LISTEN=")
 	cmd.Stdout, cmd.Stderr = log, log
 	return cmd, log
@@ -63,7 +63,7 @@
 	t        *testing.T
 	addr     string
 	cmd      *exec.Cmd
-	log      *bytes.Buffer
+	log      *lines
 	ended    chan error
 	mu       sync.Mutex
 	events   []string // of the bulletin
@@ -73,10 +73,30 @@
 	idleMs   int
 	sockets  int
 	bulletin *httptest.Server
+	config   string         // its file
+	polling  map[string]int // polls that are open, by the address of the bulletin
+}
+
+// lines collects what a program logs while it runs.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 func newSite(t *testing.T) *site {
-	s := &site{t: t, changed: make(chan struct{}), idleMs: 15000, sockets: 1024}
+	s := &site{t: t, changed: make(chan struct{}), idleMs: 15000, sockets: 1024, polling: map[string]int{}}
 	s.bulletin = httptest.NewServer(http.HandlerFunc(s.poll))
 	return s
 }
@@ -86,6 +106,9 @@
 	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
 	wait, _ := strconv.Atoi(r.URL.Query().Get("patience"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	at := r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
+	s.count(at, 1)
+	defer s.count(at, -1)
 	for {
 		s.mu.Lock()
 		if len(s.spoiled) > 0 {
@@ -112,6 +135,14 @@
 	}
 }
 
+// count keeps count of the polls that are open at a bulletin.
+func (s *site) count(at string, n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.polling[at] += n
+	return s.polling[at]
+}
+
 func (s *site) feed(after int) string {
 	return fmt.Sprintf(`{"no":%d,"items":[%s]}`, len(s.events), strings.Join(s.events[min(after, len(s.events)):], ","))
 }
@@ -132,17 +163,9 @@
 	s.changed = make(chan struct{})
 }
 
-// start runs the program with the events told so far, and waits until it is healthy.
-func (s *site) start() *site {
+// configure writes the configuration, with the events told so far.
+func (s *site) configure() {
 	s.t.Helper()
-	if s.addr == "" {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			s.t.Fatal(err)
-		}
-		s.addr = l.Addr().String()
-		l.Close()
-	}
 	s.mu.Lock()
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": s.addr, "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": s.sockets},
@@ -152,11 +175,25 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	path := filepath.Join(s.t.TempDir(), "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
+	if err := os.WriteFile(s.config, text, 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	s.cmd, s.log = program(s.t, "-config", path)
+}
+
+// start runs the program with the events told so far, and waits until it is healthy.
+func (s *site) start() *site {
+	s.t.Helper()
+	if s.addr == "" {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.addr = l.Addr().String()
+		l.Close()
+	}
+	s.config = filepath.Join(s.t.TempDir(), "config.json")
+	s.configure()
+	s.cmd, s.log = program(s.t, "-config", s.config)
 	if err := s.cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -151,6 +151,20 @@
 	w.connect()
 }
 
+// Move has the bulletin asked at another address from now on. The numbers of its events go on. Polls at the old
+// address end at once: it tells nothing more, and one that was waited for would keep the new one from being asked.
+func (w *Watch) Move(addr string) {
+	if addr == w.addr {
+		return
+	}
+	w.addr, w.pause = addr, againMin
+	for len(w.conns) > 0 {
+		w.conns[0].leave()
+	}
+	w.loop.Drop(&w.again)
+	w.connect()
+}
+
 // take reads an answer and hands on its events.
 func (w *Watch) take(text []byte) error {
 	var f Feed
