Keep a worker in use when one of its connections breaks

The log of one scheduler shows 19 answers in 22 s that cannot be read, from every worker alike, each ending a connection with 4 requests on average.

Found in router.go, ended(): 'case Unreached, Reset' raised the worker's life, which voids all beliefs of what it holds, and made it suspect: nothing for 1 s, then one trial at a time.

Now a break alone changes nothing; a refused connection still does, and so do three breaks with no answer between. The new process test fails on all its 7 rows without the change.

--- a/cmd/calicohill/program_test.go
+++ b/cmd/calicohill/program_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -251,6 +252,60 @@
 }
 
 // A worker that cannot be reached has run nothing: even certificado goes elsewhere.
+// An answer that cannot be read, or is cut off, fails its request: it has run. The worker stays in use, and what
+// it holds loaded is still counted on: such answers come from any of them.
+func TestSpoiltAnswer(t *testing.T) {
+	for _, c := range []struct{ name, text string }{
+		{"noise", "\x01\xfe\r\n"},
+		{"length is a word", "ID OK - many\r\n"},
+		{"length below 0", "ID OK - -3\r\n"},
+		{"length of 3 GB", "ID OK - 3000000000\r\n" + strings.Repeat("x", 1<<16)},
+		{"body runs on", "ID OK - 2\r\nbody\r\n"},
+		{"line without end", "ID " + strings.Repeat("x", 1<<13)},
+		{"cut off", hangUp},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			spoil := false
+			var mu sync.Mutex
+			reply := func(n int, g goLine) string {
+				mu.Lock()
+				defer mu.Unlock()
+				if spoil {
+					spoil = false
+					return strings.Replace(c.text, "ID", g.id, 1)
+				}
+				return echo(n, g)
+			}
+			agents := []*nodeAgent{newAgent(t, reply), newAgent(t, reply)}
+			s := newSite(t)
+			s.tell(true, "a SERVING "+agents[0].addr, "b SERVING "+agents[1].addr)
+			s.start()
+			f := s.front()
+			f.t = t
+			ask := func() int { f.send(call("certificado", "")); return f.read().status }
+			had := func() []int { return []int{len(agents[0].had()), len(agents[1].had())} }
+			if got := ask(); got != 200 {
+				t.Fatalf("status %d at first", got)
+			}
+			home := had()
+			mu.Lock()
+			spoil = true
+			mu.Unlock()
+			if got := ask(); got != 502 {
+				t.Errorf("status %d for a spoilt answer, want 502", got)
+			}
+			for range 5 {
+				if got := ask(); got != 200 {
+					t.Errorf("status %d afterwards, want 200", got)
+				}
+			}
+			if d := cmp.Diff([]int{7 * home[0], 7 * home[1]}, had()); d != "" {
+				t.Errorf("requests at each worker (-want +got):\n%s", d)
+			}
+		})
+	}
+}
+
 func TestUnreached(t *testing.T) {
 	s, a := newSite(t), newAgent(t, echo)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/router.go
+++ b/router.go
@@ -38,6 +38,8 @@
 
 	trialAfter = time.Second // first pause before a suspect worker is tried again; doubles, to 8 s
 
+	breaksMost = 3 // connections that break in a row, with no answer between, make a worker suspect
+
 	shedPauses = 16 // a worker that turns a call away is left alone for two such parts of a service time
 
 	widthMore = 2.0 // workers for a function, as a multiple of its part of the calls times all workers
@@ -93,6 +95,8 @@
 	others, pace      float64 // requests of other schedulers; excess of latencies over those elsewhere
 	suspect           bool
 	tries, sheds      int // trials since it became suspect; refusals in a row
+	breaks            int // times that connections broke with no answer since
+	brokeAt           time.Duration
 	lastAnswer, tryAt time.Duration
 	full, noLoads     time.Duration // it gets nothing new, or no new load, until then
 	quota             int           // calls that it may still be sent while cold, until quotaTill
@@ -689,7 +693,7 @@
 // ---- what answers teach ----
 
 func (r *Router) answered(w *worker) {
-	if w.lastAnswer = r.now; w.suspect {
+	if w.lastAnswer, w.breaks = r.now, 0; w.suspect {
 		w.suspect, w.tries, w.limit = false, 0, max(limitMin, min(w.limit, 2))
 	}
 }
@@ -735,7 +739,17 @@
 		if e.Outcome == NotLoaded || e.Warmth == LoadFailed {
 			p.warm, p.loading = false, false
 		}
-	case Unreached, Reset:
+	case Reset:
+		// A connection that broke says little of its worker: one answer that cannot be read ends it too. If
+		// the process died, the next connection is refused, and nothing has run there. A worker that breaks
+		// time and again with no answer between is ill all the same.
+		if w.brokeAt < r.now { // what was lost with one connection counts once
+			w.breaks++
+		}
+		if w.brokeAt = r.now; w.breaks >= breaksMost {
+			r.doubt(w)
+		}
+	case Unreached:
 		// The process died or cannot be reached: what it held is gone with it.
 		w.life++
 		r.doubt(w)
