Spread a worker's requests over four connections; give up answers that stop short

Read in the code, each shown by a process test that fails without this change: - pick() put up to 100 requests on one connection while nothing called for a second; - an answer that stopped short held its connection, and new requests still went there, until silence was noticed a second later, or never where something else trickled in; - take() forgot answered ids, so a second copy of MISS or BUSY ended the next attempt of that id; - noise without a line end ran into the next line and passed for an unknown id, and that line's answer never came; - a write of which nothing was taken (a connection reset while idle) was told as a worker not reached, which voids what is believed of it, though another connection shows that it is well.

Now a worker has up to four connections side by side, grown only when the one with the least out has something out; the rest of an answer is waited for 250 ms; ids that were answered otherwise than OK are remembered for 3 s; lines are printable; a dead connection costs no attempt. The longest answer follows from the memory and descriptors told (1 MiB for each of 341 connections would not fit in 192 MB).

--- a/cmd/calicohill/main.go
+++ b/cmd/calicohill/main.go
@@ -33,6 +33,8 @@
 	unfinished = time.Second
 	// lookEvery is how often it is seen whether all is answered, and so how long the last answers may take to leave.
 	lookEvery = 50 * time.Millisecond
+	// leastAnswer and mostAnswer are the bounds of the longest answer that is taken from a worker, in bytes.
+	leastAnswer, mostAnswer = 64 << 10, 1 << 20
 )
 
 func main() {
@@ -74,7 +76,9 @@
 		IdleClose: cfg.Site.IdleClose, ConnectTimeout: cfg.Site.ConnectTimeout,
 		// gnet ends its loop when a connection cannot be accepted for want of descriptors: another third
 		// stays free for dials under way, the bulletin and the runtime.
-		MaxConns: cfg.Sockets / 3}, log)
+		MaxConns: cfg.Sockets / 3,
+		// Even if every connection had an answer coming that never ends, a quarter of the memory is enough.
+		MaxAnswer: min(max(cfg.MemoryMB<<20/4/(cfg.Sockets/3), leastAnswer), mostAnswer)}, log)
 	d.Use(agents)
 	server := fastcgi.New(l, d, pool, &cfg.Site, clients, log)
 	watch, err := bulletin.New(l, cfg.Bulletin, cfg.Known, cfg.Site.Zones, cfg.Site.Kinds, d.List, log)
--- a/cmd/calicohill/program_test.go
+++ b/cmd/calicohill/program_test.go
@@ -64,6 +64,7 @@
 				t.Errorf("patience %q, want a little under 9000", g.fields["patience"])
 			}
 			delete(g.fields, "patience")
+			g.conn = 0
 			want := goLine{id: c.q.param("HTTP_REQUEST_ID"), body: c.q.body, fields: map[string]string{
 				"sort": strings.TrimPrefix(c.q.param("SCRIPT_NAME"), "/rpc/"), "asset": c.q.param("HTTP_RESOURCE_KEY")}}
 			if key := c.q.param("HTTP_ONCE_KEY"); key != "" {
@@ -251,7 +252,6 @@
 	}
 }
 
-// A worker that cannot be reached has run nothing: even certificado goes elsewhere.
 // An answer that cannot be read, or is cut off, fails its request: it has run. The worker stays in use, and what
 // it holds loaded is still counted on: such answers come from any of them.
 func TestSpoiltAnswer(t *testing.T) {
@@ -262,6 +262,8 @@
 		{"length of 3 GB", "ID OK - 3000000000\r\n" + strings.Repeat("x", 1<<16)},
 		{"body runs on", "ID OK - 2\r\nbody\r\n"},
 		{"line without end", "ID " + strings.Repeat("x", 1<<13)},
+		{"noise before a good line", "\x01\xfeID OK - 4\r\nbody\r\n"},
+		{"stops short", "ID OK - 100\r\nshort"},
 		{"cut off", hangUp},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -282,7 +284,10 @@
 			s.start()
 			f := s.front()
 			f.t = t
-			ask := func() int { f.send(call("certificado", "")); return f.read().status }
+			ask := func() int {
+				f.send(call("certificado", "", [2]string{"HTTP_BUDGET_MS", "60000"}))
+				return f.read().status
+			}
 			had := func() []int { return []int{len(agents[0].had()), len(agents[1].had())} }
 			if got := ask(); got != 200 {
 				t.Fatalf("status %d at first", got)
@@ -306,6 +311,58 @@
 	}
 }
 
+// Requests to a worker are spread over connections, so that one that breaks takes few along.
+func TestSpread(t *testing.T) {
+	release, spoil := make(chan struct{}), make(chan struct{}, 1)
+	s, _ := one(t, func(n int, g goLine) string {
+		if n == 1 {
+			<-release
+		}
+		select {
+		case <-spoil:
+			return "noise\r\n"
+		default:
+			return answerLine(g.id, "OK", "-", strconv.Itoa(g.conn))
+		}
+	})
+	long := [2]string{"HTTP_BUDGET_MS", "60000"}
+	first, f := s.front(), s.front()
+	first.send(call("certificado", "", long))
+	ask := func() answer { f.send(call("certificado", "", long)); return f.read() }
+	until(t, "another connection carries requests", func() bool { return ask().body == "2" })
+	spoil <- struct{}{}
+	if got := ask(); got.status != 502 {
+		t.Errorf("status %d for the spoilt answer, want 502", got.status)
+	}
+	close(release)
+	if got := first.read(); got.status != 200 || got.body != "1" {
+		t.Errorf("status %d, body %q for the request on the other connection", got.status, got.body)
+	}
+}
+
+// A second copy of an answer ends no later attempt: none goes on the connection that an answer to its id came on.
+func TestSecondAnswer(t *testing.T) {
+	for _, word := range []string{"MISS", "BUSY", "VOID"} {
+		t.Run(word, func(t *testing.T) {
+			s, a := one(t, func(n int, g goLine) string {
+				if n == 1 {
+					return answerLine(g.id, word, "-", "")
+				}
+				if g.conn == 1 {
+					return answerLine(g.id, "ERR", "-", "") + answerLine(g.id, "OK", "-", "late")
+				}
+				return answerLine(g.id, "OK", "-", "good")
+			})
+			f := s.front()
+			f.send(call("certificado", ""))
+			if got := f.read(); got.status != 200 || got.body != "good" {
+				t.Errorf("status %d, body %q; the worker had %+v", got.status, got.body, a.had())
+			}
+		})
+	}
+}
+
+// A worker that cannot be reached has run nothing: even certificado goes elsewhere.
 func TestUnreached(t *testing.T) {
 	s, a := newSite(t), newAgent(t, echo)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/cmd/calicohill/rig_test.go
+++ b/cmd/calicohill/rig_test.go
@@ -241,6 +241,7 @@
 	id     string
 	fields map[string]string
 	body   string
+	conn   int // that it came on, from 1
 }
 
 // nodeAgent is a node agent. reply is called for each request with its number from 1; "" answers nothing.
@@ -275,14 +276,15 @@
 			}
 			a.mu.Lock()
 			a.conns++
+			n := a.conns
 			a.mu.Unlock()
-			go a.serve(c)
+			go a.serve(c, n)
 		}
 	}()
 	return a
 }
 
-func (a *nodeAgent) serve(c net.Conn) {
+func (a *nodeAgent) serve(c net.Conn, number int) {
 	defer func() {
 		c.Close()
 		a.mu.Lock()
@@ -302,7 +304,7 @@
 			a.mu.Unlock()
 			continue
 		}
-		g := goLine{id: words[1], fields: map[string]string{}}
+		g := goLine{id: words[1], conn: number, fields: map[string]string{}}
 		for f := range strings.SplitSeq(words[2], ",") {
 			name, value, _ := strings.Cut(f, "=")
 			g.fields[name] = value
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,9 +33,18 @@
 	// those of impatient clients end before silence is noticed.
 	lostMost = 3
 	// perWorker is how many connections to one worker may be open, silent ones included.
-	perWorker = 6
-	// crossing is how long after a request was given up its answer may still come.
-	crossing = time.Second
+	perWorker = 8
+	// spread is how many connections to one worker are used side by side, as far as there is something to carry.
+	// A connection that breaks, by one answer that cannot be read, takes along all that is out on it.
+	spread = 4
+	// aloneFor is how long no connection is added to those of a worker after one did not come up.
+	aloneFor = time.Second
+	// crossing is how long after a request was given up, or answered, another answer to it may still come.
+	crossing = 3 * time.Second
+	// wholeIn is how long the rest of an answer may take once it has begun to come.
+	wholeIn = 250 * time.Millisecond
+	// writeTries is how many connections may turn out to be dead when a request is about to be written.
+	writeTries = 3
 	// backlog is how much may wait unsent on a connection until the agent counts as not reading.
 	backlog = 256 << 10
 )
@@ -61,6 +70,7 @@
 	IdleClose      time.Duration
 	ConnectTimeout time.Duration
 	MaxConns       int // connections to all workers
+	MaxAnswer      int // the longest body of an answer, in bytes
 }
 
 // Pool keeps the connections to all workers. It is a dispatch.Workers.
@@ -85,6 +95,7 @@
 	conns    []*conn
 	waiting  []*job // for a connection
 	dialing  int
+	alone    time.Duration // until then no connection is added to those that there are
 }
 
 // job is an attempt or a probe.
@@ -93,6 +104,7 @@
 	w       *worker
 	c       *conn // nil while it waits for one
 	probe   bool
+	tries   int // connections that were dead when it was to be written
 	written time.Duration
 	late    deadline.Entry // of a probe; those of attempts are the dispatcher's
 }
@@ -104,13 +116,15 @@
 	w       *worker
 	c       gnet.Conn                // nil until it is up and once it is gone
 	out     map[string]*job          // by request id
-	halted  map[string]time.Duration // when a request was given up: an answer may have crossed that
+	spent   map[string]time.Duration // when a request was given up or answered: another answer may yet come
 	opened  time.Duration
 	written time.Duration // when the last request or probe was
 	heard   time.Duration // when something last came
 	lost    int           // requests given up since
 	retired bool          // gets nothing new
+	partial bool          // an answer has begun to come
 	idle    deadline.Entry
+	rest    deadline.Entry // for the rest of that answer
 }
 
 // New returns a Pool without workers.
@@ -219,7 +233,11 @@
 		p.finish(j, dispatch.End{Outcome: calicohill.Unsent, Company: -1})
 		return
 	}
-	if c := p.pick(j); c != nil {
+	c, usable := p.pick(j)
+	if c != nil {
+		if len(c.out) > 0 && usable < spread {
+			p.widen(w)
+		}
 		c.write(j)
 		return
 	}
@@ -235,21 +253,34 @@
 	}
 }
 
-// pick chooses a connection that may carry the job: the one with the least out.
-func (p *Pool) pick(j *job) (best *conn) {
+// pick chooses a connection that may carry the job, the one with the least out, and tells how many could be used.
+func (p *Pool) pick(j *job) (best *conn, usable int) {
 	now := p.loop.Now()
 	for _, c := range j.w.conns {
-		// Two attempts of one request on a connection could not be told apart, and one that was given up may
-		// yet be answered there.
+		if c.retired || c.partial || len(c.out) >= p.opt.Streams || c.silent(now) {
+			continue
+		}
+		usable++
+		// Two attempts of one request on a connection could not be told apart, and one that was given up or
+		// answered may yet be answered there once more.
 		_, taken := c.out[j.ID]
-		if at, ok := c.halted[j.ID]; taken || ok && now-at < crossing || c.retired || len(c.out) >= p.opt.Streams || c.silent(now) {
+		if at, ok := c.spent[j.ID]; taken || ok && now-at < crossing {
 			continue
 		}
 		if best == nil || len(c.out) < len(best.out) {
 			best = c
 		}
 	}
-	return best
+	return best, usable
+}
+
+// widen adds a connection to those of a worker, for what comes next. Half of all that there may be are kept for
+// workers that have none.
+func (p *Pool) widen(w *worker) {
+	if w.dialing == 0 && len(w.conns) < perWorker && p.loop.Now() >= w.alone &&
+		2*(p.conns.Len()+p.dialing) < p.opt.MaxConns {
+		p.dial(w)
+	}
 }
 
 // silent reports whether a connection has answered nothing for long, though something is out.
@@ -276,10 +307,11 @@
 func (p *Pool) dial(w *worker) {
 	w.dialing++
 	p.dialing++
-	c := &conn{pool: p, w: w, out: map[string]*job{}, halted: map[string]time.Duration{}}
+	c := &conn{pool: p, w: w, out: map[string]*job{}, spent: map[string]time.Duration{}}
 	p.loop.Dial(w.addr, p.opt.ConnectTimeout, c, func(err error) {
 		w.dialing--
 		p.dialing--
+		w.alone = p.loop.Now() + aloneFor
 		p.log.WithError(err).WithField("worker", w.id).Warn("agent not reached")
 		if w.dialing == 0 {
 			p.failWaiting(w, calicohill.Unreached)
@@ -302,14 +334,19 @@
 	return false
 }
 
-// giveUp takes a job off a connection and remembers its id for as long as an answer may be on its way.
+// giveUp takes a job off a connection.
 func (c *conn) giveUp(j *job) {
 	delete(c.out, j.ID)
+	c.spend(j.ID)
+}
+
+// spend remembers an id for as long as an answer to it may come that is not for the next attempt.
+func (c *conn) spend(id string) {
 	now := c.pool.loop.Now()
-	if len(c.halted) >= c.pool.opt.Streams {
-		maps.DeleteFunc(c.halted, func(_ string, at time.Duration) bool { return now-at >= crossing })
+	if len(c.spent) >= c.pool.opt.Streams {
+		maps.DeleteFunc(c.spent, func(_ string, at time.Duration) bool { return now-at >= crossing })
 	}
-	c.halted[j.ID] = now
+	c.spent[id] = now
 }
 
 // Halt gives an attempt up; it is not reported any more.
@@ -348,7 +385,7 @@
 	c.heard = c.opened
 	c.ref = p.conns.Put(c)
 	w.conns = append(w.conns, c)
-	c.idle.Fire = c.idled
+	c.idle.Fire, c.rest.Fire = c.idled, c.cutShort
 	p.loop.At(&c.idle, c.heard+p.idleAfter())
 	if w.state == calicohill.Gone {
 		c.close()
@@ -360,7 +397,7 @@
 		// While it waited its request may have been answered, or its worker begun to drain.
 		if !j.probe && !p.sink.May(j.Ref) {
 			p.finish(j, dispatch.End{Outcome: calicohill.Unsent, Company: -1})
-		} else if pick := p.pick(j); pick != nil {
+		} else if pick, _ := p.pick(j); pick != nil {
 			pick.write(j)
 		} else {
 			w.waiting = append(w.waiting, j)
@@ -403,6 +440,11 @@
 		case err == nil:
 			c.out[j.ID] = j
 		case n == 0:
+			// The peer may be well: connections are reset at any time. Another one shows.
+			if j.c, j.tries = nil, j.tries+1; j.tries < writeTries {
+				p.start(j)
+				return
+			}
 			p.finish(j, dispatch.End{Outcome: calicohill.Unreached, Company: -1})
 		default:
 			p.finish(j, dispatch.End{Outcome: calicohill.Reset, Company: -1})
@@ -444,14 +486,23 @@
 		if err != nil || len(b) == 0 {
 			return nil
 		}
-		a, n, err := parse(b)
+		a, n, err := parse(b, c.pool.opt.MaxAnswer)
 		if err != nil {
 			c.pool.log.WithError(err).WithField("worker", c.w.id).Warn("agent closed: it cannot be understood")
 			return err
 		}
 		if n == 0 {
+			// Guards against an answer that stops short: until the rest comes, nothing else comes here.
+			if !c.partial {
+				c.partial = true
+				c.pool.loop.At(&c.rest, c.heard+wholeIn)
+			}
 			return nil
 		}
+		if c.partial {
+			c.partial = false
+			c.pool.loop.Drop(&c.rest)
+		}
 		c.take(a)
 		if c.c == nil {
 			return nil
@@ -478,6 +529,9 @@
 		return // it was given up before
 	}
 	delete(c.out, a.id)
+	if a.word != "OK" { // which ends the request: it has no next attempt
+		c.spend(a.id)
+	}
 	e := dispatch.End{Outcome: outcomes[a.word], Body: a.body, Company: -1, Report: a.report}
 	if a.word == "OK" || a.word == "BUSY" {
 		e.Company = a.depth
@@ -485,6 +539,12 @@
 	c.pool.finish(j, e)
 }
 
+// cutShort gives up a connection on which the rest of an answer does not come.
+func (c *conn) cutShort() {
+	c.pool.log.WithField("worker", c.w.id).Warn("agent closed: an answer stops short")
+	c.close()
+}
+
 // retire has a connection get nothing new.
 func (c *conn) retire(why string) {
 	if !c.retired {
@@ -515,6 +575,7 @@
 	c.c = nil
 	p.conns.Free(c.ref)
 	p.loop.Drop(&c.idle)
+	p.loop.Drop(&c.rest)
 	for i, other := range w.conns {
 		if other == c {
 			w.conns = append(w.conns[:i:i], w.conns[i+1:]...)
--- a/internal/agent/line.go
+++ b/internal/agent/line.go
@@ -11,11 +11,8 @@
 	"calicohill"
 )
 
-// Limits on what an agent may write.
-const (
-	maxLine   = 4 << 10
-	maxAnswer = 1 << 20
-)
+// maxLine is the longest line that an agent may write.
+const maxLine = 4 << 10
 
 // answer is one answer of an agent.
 type answer struct {
@@ -28,11 +25,12 @@
 var errLine = errors.New("answer cannot be read")
 
 // parse reads the answer that a buffer begins with and tells how many bytes it takes, 0 if it is not whole yet.
-// The body is part of the buffer.
+// The body is part of the buffer, and no longer than a limit.
 //
 // Guards against an agent that writes without end or nonsense: lines and bodies are bounded, every word must
-// be as the protocol has it, and an error is for good.
-func parse(b []byte) (a answer, n int, err error) {
+// be as the protocol has it, and an error is for good. Noise that runs into the next line must not pass for an
+// unknown id, or that line's answer would never come.
+func parse(b []byte, maxBody int) (a answer, n int, err error) {
 	end := bytes.Index(b[:min(len(b), maxLine)], crlf)
 	if end < 0 {
 		if len(b) >= maxLine {
@@ -40,6 +38,9 @@
 		}
 		return a, 0, nil
 	}
+	if bytes.ContainsFunc(b[:end], func(c rune) bool { return c < ' ' || c > '~' }) {
+		return a, 0, fmt.Errorf("%w: %.20q", errLine, b[:end])
+	}
 	words := strings.Split(string(b[:end]), " ")
 	if len(words) < 2 || len(words) > 4 || words[0] == "" {
 		return a, 0, fmt.Errorf("%w: %d words", errLine, len(words))
@@ -64,7 +65,7 @@
 		return a, n, nil
 	}
 	length, err := strconv.ParseUint(words[3], 10, 32)
-	if err != nil || length > maxAnswer {
+	if err != nil || length > uint64(maxBody) {
 		return a, 0, fmt.Errorf("%w: length %.20q", errLine, words[3])
 	}
 	whole := n + int(length) + len(crlf)
