Close clients that send nothing whole within 2 s; let idle ones make room

Now a new connection has 2 s for a first whole request, and any record 2 s for its rest; a request from its first record to its last too. When all places are taken the newcomer is let in and the one closed that is missed least: idle for over 4 s, else never heard of, else idle for longest (the protocol has a request that crosses such a close sent again). Two lists in order make that cheap. Withdrawals count as lost at a worker only after 200 ms: hundreds at once retired good connections.

--- a/cmd/calicohill/program_test.go
+++ b/cmd/calicohill/program_test.go
@@ -561,25 +561,125 @@
 	}
 }
 
-// Clients hold a third of the descriptors at most; those let in are served on.
+// Clients hold a third of the descriptors at most. Those that say nothing or ask nothing more make room for others,
+// and those with a request open are served on.
 func TestTooManyClients(t *testing.T) {
-	a, s := newAgent(t, echo), newSite(t)
-	s.sockets = 90
-	s.tell(true, "a SERVING "+a.addr)
-	s.start()
-	var fronts []*front
-	for range 30 {
-		fronts = append(fronts, s.front())
+	for _, c := range []struct {
+		name   string
+		before func(f *front)
+		let    bool
+	}{
+		{"silent", func(*front) {}, true},
+		{"half a request", func(f *front) {
+			q := call("consulta", "half")
+			q.open = true
+			f.send(q)
+		}, true},
+		{"served and held for good", func(f *front) {
+			f.send(call("consulta", "once"))
+			if got := f.read(); got.body != "re:once" {
+				f.t.Errorf("status %d at first", got.status)
+			}
+		}, true},
+		{"requests open", func(f *front) {
+			// Each of a function of its own, or the module would refuse some.
+			q := call("consulta", "held", [2]string{"HTTP_BUDGET_MS", "60000"})
+			f.send(call("consulta", "held", [2]string{"HTTP_BUDGET_MS", "60000"}, [2]string{"HTTP_RESOURCE_KEY", q.param("HTTP_REQUEST_ID")}))
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			release := make(chan struct{})
+			s, had := newSite(t), func() (n int) { return }
+			s.sockets = 90
+			var targets []string
+			for i := range 12 {
+				a := newAgent(t, func(n int, g goLine) string {
+					if g.body == "held" {
+						<-release
+					}
+					return echo(n, g)
+				})
+				others := had
+				had = func() int { return len(a.had()) + others() }
+				targets = append(targets, fmt.Sprintf("w%d SERVING %s", i, a.addr))
+			}
+			s.tell(true, targets...)
+			s.start()
+			var fronts []*front
+			for range 30 {
+				f := s.front()
+				c.before(f)
+				fronts = append(fronts, f)
+			}
+			if !c.let {
+				until(t, "all requests are at workers", func() bool { return had() == len(fronts) })
+				if !s.front().gone() {
+					t.Error("the 31st was let in")
+				}
+				close(release)
+				for _, f := range fronts {
+					if got := f.read(); got.body != "re:held" {
+						t.Errorf("status %d for a request that was open", got.status)
+					}
+				}
+				return
+			}
+			f := s.front()
+			f.send(call("consulta", "new"))
+			if got := f.read(); got.body != "re:new" {
+				t.Errorf("status %d, want the newcomer served", got.status)
+			}
+		})
 	}
-	f := fronts[0]
-	f.send(call("consulta", "x"))
-	if got := f.read(); got.status != 200 {
-		t.Errorf("the first: status %d", got.status)
+}
+
+// A client that sends nothing whole is answered or closed before long, and another may stay for as long as it likes.
+func TestNothingWhole(t *testing.T) {
+	s, _ := one(t, echo)
+	served := s.front()
+	ask := func() {
+		t.Helper()
+		served.send(call("consulta", "x"))
+		if got := served.read(); got.body != "re:x" {
+			t.Errorf("status %d for the client that asks", got.status)
+		}
 	}
-	turned := s.front()
-	if _, _, _, err := turned.record(); err == nil {
-		t.Error("the 31st was let in")
+	ask()
+	whole := call("consulta", "body").bytes()
+	for _, c := range []struct {
+		name   string
+		text   []byte
+		before bool // a whole request came before
+		status int
+	}{
+		{"nothing", nil, false, 0},
+		{"half a header", whole[:5], false, 0},
+		{"half a record", whole[:40], false, 408},
+		{"no end", whole[:len(whole)-8], false, 408},
+		{"no end, later", whole[:len(whole)-8], true, 408},
+		{"half a header, later", whole[:5], true, 0},
+		{"a record of 64 KiB that does not come", []byte{1, 5, 0, 1, 0xff, 0xff, 0, 0, 'x'}, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := s.front()
+			f.t = t
+			if c.before {
+				f.send(call("consulta", "first"))
+				f.read()
+			}
+			f.write(c.text)
+			if c.status != 0 {
+				if got := f.read(); got.status != c.status {
+					t.Errorf("status %d, want %d", got.status, c.status)
+				}
+			}
+			if c.name != "no end, later" && !f.gone() {
+				t.Error("the connection stays open")
+			}
+		})
 	}
+	t.Cleanup(ask) // runs when all of these have ended
 }
 
 // A connection carries 32 requests, whole or not: one more is refused at once.
--- a/cmd/calicohill/rig_test.go
+++ b/cmd/calicohill/rig_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -411,6 +412,17 @@
 	}
 }
 
+// gone reads on and reports whether the connection was ended.
+func (f *front) gone() bool {
+	for {
+		_, _, _, err := f.record()
+		var late net.Error
+		if err != nil {
+			return !errors.As(err, &late) || !late.Timeout()
+		}
+	}
+}
+
 // answer is an answer as a client reads it.
 type answer struct {
 	id     uint16
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,6 +32,9 @@
 	// lostMost is how many requests in a row may be given up on a connection that answered nothing meanwhile:
 	// those of impatient clients end before silence is noticed.
 	lostMost = 3
+	// lostAfter is how long a request must have been out to count as one of those. Clients that withdraw hundreds
+	// at once tell nothing of the worker.
+	lostAfter = 200 * time.Millisecond
 	// perWorker is how many connections to one worker may be open, silent ones included.
 	perWorker = 8
 	// spread is how many connections to one worker are used side by side, as far as there is something to carry.
@@ -360,8 +363,8 @@
 	if !p.forget(j) {
 		return false
 	}
-	if c.heard < j.written {
-		if c.lost++; c.lost >= lostMost || p.loop.Now()-j.written > silence {
+	if out := p.loop.Now() - j.written; c.heard < j.written && out >= lostAfter {
+		if c.lost++; c.lost >= lostMost || out > silence {
 			c.retire("silent")
 		}
 	}
--- a/internal/fastcgi/server.go
+++ b/internal/fastcgi/server.go
@@ -2,6 +2,7 @@
 package fastcgi
 
 import (
+	"container/list"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -22,10 +23,11 @@
 
 const (
 	maxStreams = 32 // requests that a connection may have open
-	// wholeWithin is how long a request may take from its first record to its last.
-	wholeWithin = 10 * time.Second
-	// clientIdle is how long after its last request a client closes a connection by itself. One idle for longer
-	// makes room for another when there are too many.
+	// wholeWithin is how long a request may take from its first record to its last, a record from its first byte
+	// to its last, and a new connection until its first request is whole. Whoever sends anything else, or
+	// nothing, is owed an answer or a close within 3 s of connecting.
+	wholeWithin = 2 * time.Second
+	// clientIdle is how long after its last request a client closes a connection by itself.
 	clientIdle = 4 * time.Second
 	// logEvery is how often each kind of complaint about clients is logged at the most.
 	logEvery = time.Second
@@ -57,7 +59,11 @@
 	maxConns   int
 	log        logrus.FieldLogger
 
-	conns   map[*conn]struct{}
+	conns int
+	// Connections that never had a request whole, in the order they came, and those that had and have none
+	// open, in the order they became idle.
+	silent, idle list.List
+
 	streams slot.Table[*stream]
 	logged  map[string]complaint // by message
 	scratch []byte
@@ -74,8 +80,13 @@
 	s       *Server
 	c       gnet.Conn // nil once it is gone
 	streams map[uint16]*stream
-	active  time.Duration // when bytes last came
-	unread  time.Duration // how long those had waited to be read
+	unread  time.Duration // how long the latest bytes had waited to be read
+	known   bool          // a request was whole, or was answered
+	since   time.Duration // when it became idle
+	in      *list.List    // silent, idle or neither
+	place   *list.Element // there
+	late    deadline.Entry
+	awaits  bool // late is set: for a first request, or for the rest of a record
 }
 
 // stream is a request on a connection, from its BEGIN_REQUEST to its END_REQUEST.
@@ -95,7 +106,7 @@
 // New returns a Server that lets in at most maxConns connections.
 func New(l Loop, d Dispatcher, pool *buffer.Pool, site *settings.Site, maxConns int, log logrus.FieldLogger) *Server {
 	s := &Server{loop: l, dispatcher: d, pool: pool, site: site, classes: map[string]int{}, maxConns: maxConns,
-		conns: map[*conn]struct{}{}, logged: map[string]complaint{}, log: log}
+		logged: map[string]complaint{}, log: log}
 	for i, name := range site.ClassNames {
 		s.classes[name] = i
 	}
@@ -104,30 +115,96 @@
 
 // Accept takes a connection in, or nil if there are too many.
 func (s *Server) Accept(c gnet.Conn) loop.Peer {
-	if len(s.conns) >= s.maxConns && !s.closeIdlest() {
+	if s.conns >= s.maxConns && !s.makeRoom() {
 		s.complain("client turned away: too many connections", nil)
 		return nil
 	}
-	in := &conn{s: s, c: c, streams: map[uint16]*stream{}, active: s.loop.Now()}
-	s.conns[in] = struct{}{}
+	s.conns++
+	in := &conn{s: s, c: c, streams: map[uint16]*stream{}}
+	in.late.Fire = in.overdue
+	in.await()
+	in.sort()
 	return in
 }
 
-// closeIdlest closes the connection that has been idle for longest, if its client should have closed it.
-func (s *Server) closeIdlest() bool {
-	var idlest *conn
-	for c := range s.conns {
-		if len(c.streams) == 0 && (idlest == nil || c.active < idlest.active) {
-			idlest = c
-		}
-	}
-	if idlest == nil || s.loop.Now()-idlest.active <= clientIdle {
+// makeRoom closes the connection that will be missed least: one idle for longer than clients keep any; else the
+// first that came and never sent a request, since who means to sends it at once; else the longest idle.
+//
+// Guards against clients that hold what they were let in with for good: others would find no room.
+func (s *Server) makeRoom() bool {
+	idle, silent := s.idle.Front(), s.silent.Front()
+	switch {
+	case idle != nil && (silent == nil || s.loop.Now()-idle.Value.(*conn).since > clientIdle):
+		idle.Value.(*conn).close()
+	case silent != nil:
+		silent.Value.(*conn).close()
+	default:
 		return false
 	}
-	idlest.close()
 	return true
 }
 
+// sort puts a connection into the list where it belongs now.
+func (c *conn) sort() {
+	var in *list.List
+	switch {
+	case c.c == nil:
+	case !c.known:
+		in = &c.s.silent
+	case len(c.streams) == 0:
+		in = &c.s.idle
+	}
+	if in == c.in {
+		return
+	}
+	if c.in != nil {
+		c.in.Remove(c.place)
+	}
+	if c.in = in; in != nil {
+		c.place, c.since = in.PushBack(c), c.s.loop.Now()
+	}
+}
+
+// meet notes that a connection carries whole requests.
+func (c *conn) meet() {
+	if !c.known {
+		c.known = true
+		c.relax()
+	}
+	c.sort()
+}
+
+// await gives the client a while for what must come next, and relax takes that back.
+func (c *conn) await() {
+	if !c.awaits {
+		c.awaits = true
+		c.s.loop.At(&c.late, c.s.loop.Now()+wholeWithin)
+	}
+}
+
+func (c *conn) relax() {
+	if c.awaits {
+		c.awaits = false
+		c.s.loop.Drop(&c.late)
+	}
+}
+
+// overdue closes a connection on which what had to come did not. What is taken is answered first.
+func (c *conn) overdue() {
+	c.awaits = false
+	for _, st := range c.streams {
+		if st.taken != 0 {
+			c.await()
+			return
+		}
+	}
+	c.s.complain("client closed: nothing whole came in time", nil)
+	for _, st := range c.streams {
+		st.respond(http.StatusRequestTimeout, "", nil)
+	}
+	c.close()
+}
+
 // complain logs what clients do wrong, each message once in a while: thousands of bad requests must not become
 // thousands of lines.
 func (s *Server) complain(message string, err error) {
@@ -173,7 +250,7 @@
 
 // Traffic reads records.
 func (c *conn) Traffic(gc gnet.Conn) error {
-	c.active, c.unread = c.s.loop.Now(), loop.Unread(gc)
+	c.unread = loop.Unread(gc)
 	for {
 		b, err := gc.Peek(-1)
 		if err != nil || len(b) == 0 {
@@ -181,8 +258,12 @@
 		}
 		r, n, err := parse(b)
 		if err == nil && n == 0 {
+			c.await()
 			return nil
 		}
+		if c.known {
+			c.relax()
+		}
 		if err == nil {
 			err = c.record(r)
 		}
@@ -255,6 +336,7 @@
 	st := &stream{conn: c, id: r.id, keep: r.content[2]&flagKeepConn != 0}
 	st.ref = s.streams.Put(st)
 	c.streams[r.id] = st
+	c.sort()
 	if binary.BigEndian.Uint16(r.content) != roleResponder {
 		st.end(appendEnd(s.scratch[:0], r.id, statusUnknownRole))
 		return nil
@@ -291,7 +373,9 @@
 // Closed gives up all that was open.
 func (c *conn) Closed(gnet.Conn, error) {
 	c.c = nil
-	delete(c.s.conns, c)
+	c.s.conns--
+	c.sort()
+	c.relax()
 	for _, st := range c.streams {
 		st.forget()
 		if st.taken != 0 {
@@ -375,6 +459,7 @@
 	default:
 		st.taken, st.body = ref, nil
 		s.loop.Drop(&st.late)
+		st.conn.meet()
 	}
 }
 
@@ -412,6 +497,7 @@
 	c := st.conn
 	st.forget()
 	delete(c.streams, st.id)
+	c.meet()
 	c.write(last)
 	if !st.keep {
 		c.close()
