Forget workers that are gone; give the memory of bursts back

Seen in reading: router.go keeps every worker that was ever listed (follow() only marks it Gone), and with it a pair in each function that was sent there; survey() and look() walk over all of them every 10 ms. internal/buffer keeps every buffer it ever lent, up to a third of the memory.

Now tidy() forgets workers that have been gone for a keep-alive with nothing out, and their pairs; the pool keeps as many free buffers as are lent and 64 more.

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -4,6 +4,9 @@
 // Size is the capacity of every buffer: the largest body that a request may have.
 const Size = 16 << 10
 
+// spare is how many buffers are kept beyond as many as are out: a burst must not hold its memory for good.
+const spare = 64
+
 // Buffer is a lent buffer. B never grows past Size.
 type Buffer struct{ B []byte }
 
@@ -45,6 +48,8 @@
 		return
 	}
 	p.out--
-	b.B = b.B[:0]
-	p.free = append(p.free, b)
+	if len(p.free) < p.out+spare {
+		b.B = b.B[:0]
+		p.free = append(p.free, b)
+	}
 }
--- a/router.go
+++ b/router.go
@@ -101,6 +101,7 @@
 	full, noLoads     time.Duration // it gets nothing new, or no new load, until then
 	quota             int           // calls that it may still be sent while cold, until quotaTill
 	quotaTill, paceAt time.Duration
+	goneAt            time.Duration
 }
 
 type function struct {
@@ -906,8 +907,21 @@
 	return n > 0 && q.attempts[n-1].w == w && !q.attempts[n-1].proved
 }
 
-// tidy forgets functions that nobody has called for long, so that one-off functions do not pile up.
+// tidy forgets functions that nobody has called for long and workers that are gone, so that neither pile up:
+// new ones come all day.
 func (r *Router) tidy() {
+	gone := func(w *worker) bool {
+		return w.State == Gone && len(w.outs) == 0 && r.now-w.goneAt >= r.set.KeepAlive
+	}
+	for _, f := range r.funcList {
+		f.pairs = slices.DeleteFunc(f.pairs, func(p *pair) bool { return p.out == 0 && gone(p.w) })
+	}
+	r.list = slices.DeleteFunc(r.list, func(w *worker) bool {
+		if gone(w) {
+			delete(r.workers, w.ID)
+		}
+		return gone(w)
+	})
 	r.funcList = slices.DeleteFunc(r.funcList, func(f *function) bool {
 		if r.now-f.lastCall < 5*r.set.KeepAlive ||
 			slices.ContainsFunc(f.pairs, func(p *pair) bool { return p.ordered || p.out > 0 }) ||
@@ -946,13 +960,14 @@
 			w.full, w.noLoads, w.sheds = 0, 0, 0
 		}
 		if in.State == Gone {
+			w.goneAt = r.now
 			in.Weight, in.Zone, in.Cell, in.Kind, in.Started = w.Weight, w.Zone, w.Cell, w.Kind, w.Started
 		}
 		w.Worker = in
 	}
 	for _, w := range r.list {
-		if e.Kind != ListChanges && !seen[w.ID] {
-			w.State = Gone
+		if e.Kind != ListChanges && !seen[w.ID] && w.State != Gone {
+			w.State, w.goneAt = Gone, r.now
 		}
 	}
 }
--- a/router_test.go
+++ b/router_test.go
@@ -549,6 +549,25 @@
 	}
 }
 
+// Workers that are gone, and what was known of them, are forgotten in the end; one that is back is as good as new.
+func TestGoneWorkersAreForgotten(t *testing.T) {
+	b := newBed(t, settings(), ready("stays", 0))
+	for i := range 50 {
+		id := fmt.Sprintf("w%d", i)
+		b.step(ms, WorkerList{Kind: ListFull, Workers: []Worker{ready(id, 0)}})
+		s := b.send(fmt.Sprint("q", i), "f")
+		b.step(ms, end(s, 0, Served))
+	}
+	b.step(ms, WorkerList{Kind: ListChanges, Workers: []Worker{{ID: "w49", State: Gone}, ready("stays", 0)}})
+	b.wait(10 * time.Second)
+	if n, m, p := len(b.r.list), len(b.r.workers), len(b.r.funcs["f"].pairs); n != 1 || m != 1 || p > 1 {
+		t.Errorf("%d and %d workers and %d pairs are kept, want those of one worker", n, m, p)
+	}
+	if s := b.send("last", "f"); s.Worker != "stays" {
+		t.Errorf("sent to %s", s.Worker)
+	}
+}
+
 // A refused cold call pauses the worker for new loads, not at once trying the same one again.
 func TestPauseAfterTurningAway(t *testing.T) {
 	b := newBed(t, settings(), fleet(1)...)
