Keep certificado away from workers that answer errors

Found in router.go: ended() takes an error for an answer like any other, and pick() goes on sending a worker what stands there. What may be repeated is tried elsewhere after an error and is served; a call that must not be repeated has failed. Ruled out: breaks (10 in that time), the list (the worker is SERVING throughout).

Now a running share of errors is kept for each worker; above 0.15 it gets no call that must not be repeated, as long as another is well. The others go there still and show when the errors cease, so no trial is needed and no capacity is lost. Errors for functions that nobody ever answered, as bad clients ask for, do not count. One error alone does not reach the threshold.

--- a/cmd/calicohill/program_test.go
+++ b/cmd/calicohill/program_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -362,6 +363,68 @@
 	}
 }
 
+// A worker that answers errors gets no call that must not be repeated. Others still go there, and elsewhere after
+// that. Errors for a function that nobody knows count for nothing.
+func TestErrors(t *testing.T) {
+	var agents []*nodeAgent
+	var failing atomic.Int32 // which of them fails, from 1
+	for i := range 2 {
+		agents = append(agents, newAgent(t, func(n int, g goLine) string {
+			if g.fields["asset"] == "00000000deadbeef" || failing.Load() == int32(i+1) {
+				return answerLine(g.id, "ERR", "-", "")
+			}
+			return echo(n, g)
+		}))
+	}
+	s := newSite(t)
+	s.tell(true, "a SERVING "+agents[0].addr, "b SERVING "+agents[1].addr)
+	f := s.start().front()
+	ask := func(class string, change ...[2]string) int {
+		f.send(call(class, "x", change...))
+		return f.read().status
+	}
+	certified := func(a *nodeAgent) (n int) {
+		for _, g := range a.had() {
+			if g.fields["sort"] == "certificado" {
+				n++
+			}
+		}
+		return n
+	}
+	ask("consulta")
+	home := 0
+	if len(agents[1].had()) > 0 {
+		home = 1
+	}
+	for range 20 {
+		if got := ask("consulta", [2]string{"HTTP_RESOURCE_KEY", "00000000deadbeef"}); got == 200 {
+			t.Fatal("a function that nobody knows was served")
+		}
+	}
+	for range 5 {
+		if got := ask("certificado"); got != 200 {
+			t.Errorf("status %d while all is well", got)
+		}
+	}
+	if certified(agents[home]) != 5 {
+		t.Errorf("%d of 5 calls went where the function stands", certified(agents[home]))
+	}
+	failing.Store(int32(home + 1))
+	for range 20 {
+		if got := ask("consulta"); got != 200 {
+			t.Errorf("status %d for a call that may be repeated", got)
+		}
+	}
+	for range 10 {
+		if got := ask("certificado"); got != 200 {
+			t.Errorf("status %d for a call that may not", got)
+		}
+	}
+	if n := certified(agents[home]); n != 5 {
+		t.Errorf("%d calls that must not be repeated went to the worker that fails", n-5)
+	}
+}
+
 // A worker that cannot be reached has run nothing: even certificado goes elsewhere.
 func TestUnreached(t *testing.T) {
 	s, a := newSite(t), newAgent(t, echo)
--- a/router.go
+++ b/router.go
@@ -40,6 +40,9 @@
 
 	breaksMost = 3 // connections that break in a row, with no answer between, make a worker suspect
 
+	// A worker of whose late answers more than errsMost are errors gets no calls that must not be repeated.
+	errsWeight, errsMost = 0.1, 0.15
+
 	shedPauses = 16 // a worker that turns a call away is left alone for two such parts of a service time
 
 	widthMore = 2.0 // workers for a function, as a multiple of its part of the calls times all workers
@@ -70,6 +73,7 @@
 	funcs         map[string]*function
 	funcList      []*function     // in order of first sight
 	leastAim, lat float64         // least aim of all classes and mean latency of warm calls, in seconds
+	well          int             // usable workers that do not answer errors
 	lanes, busy   float64         // lanes that are usable; share of them that is taken
 	allCalls      float64         // of all functions, decaying
 	outWork       float64         // summed service times of attempts that are out, in seconds
@@ -94,7 +98,9 @@
 	life              int     // counts restarts; beliefs of an earlier life are void
 	others, pace      float64 // requests of other schedulers; excess of latencies over those elsewhere
 	suspect           bool
-	tries, sheds      int // trials since it became suspect; refusals in a row
+	tries, sheds      int     // trials since it became suspect; refusals in a row
+	errs              float64 // running share of its answers that are errors
+	errsAt            time.Duration
 	breaks            int // times that connections broke with no answer since
 	brokeAt           time.Duration
 	lastAnswer, tryAt time.Duration
@@ -108,6 +114,7 @@
 	name           string
 	class, lanes   int
 	version        int     // of the list that order was made from
+	served         bool    // some worker answered it
 	calls          float64 // decaying
 	mean, slowest  float64 // served latencies, in seconds: running mean, slowest recent one
 	meanAt, slowAt time.Duration
@@ -266,9 +273,12 @@
 
 // survey counts the usable lanes, and what share of them is taken.
 func (r *Router) survey() {
-	r.busy, r.lanes = 0, 0
+	r.busy, r.lanes, r.well = 0, 0, 0
 	for _, w := range r.list {
 		if r.usable(w) {
+			if r.errsOf(w) <= errsMost {
+				r.well++
+			}
 			r.busy += float64(len(w.outs) - w.loads)
 			r.lanes += w.limit
 		}
@@ -323,7 +333,8 @@
 	known := len(home) > 1 && float64(r.set.Schedulers-1)*f.calls/widthTau >= presumedFrom*float64(len(home))
 	good := func(p *pair) bool { return r.isWarm(p) || known && slices.Contains(home, p.w) }
 	for _, p := range f.pairs {
-		if !p.loading && !good(p) || r.left(p) || !r.usable(p.w) || !r.maySend(q, p.w) || q.failedAt(p.w) {
+		if !p.loading && !good(p) || r.left(p) || !r.usable(p.w) || !r.maySend(q, p.w) || q.failedAt(p.w) ||
+			r.shuns(q, p.w) {
 			continue
 		}
 		stands = true
@@ -397,7 +408,19 @@
 // room reports whether a worker may be sent this request and has room for it.
 func (r *Router) room(q *request, w *worker) bool {
 	return r.usable(w) && float64(len(w.outs)-w.loads) < w.limit && r.now >= w.full &&
-		r.maySend(q, w) && !q.failedAt(w)
+		r.maySend(q, w) && !q.failedAt(w) && !r.shuns(q, w)
+}
+
+// errsOf is the share of a worker's late answers that are errors. It fades: that they have ceased is told by
+// nothing but new calls.
+func (r *Router) errsOf(w *worker) float64 {
+	return w.errs * math.Exp(-(r.now-w.errsAt).Seconds()/r.set.KeepAlive.Seconds())
+}
+
+// shuns reports whether a worker is not to have this request: it answers errors, and nothing could be tried
+// after one. Others go there still, show when it is well again, and are tried elsewhere.
+func (r *Router) shuns(q *request, w *worker) bool {
+	return q.class.Effect == Unsafe && r.well > 0 && r.errsOf(w) > errsMost
 }
 
 func (r *Router) limitStart() float64 { return max(2, callsThere/float64(r.set.Schedulers)) }
@@ -737,6 +760,9 @@
 		}
 	case NotLoaded, Errored:
 		r.answered(w)
+		if e.Outcome == Errored && f.served { // a function that no worker knows tells nothing of this one
+			w.errs, w.errsAt = r.errsOf(w)*(1-errsWeight)+errsWeight, r.now
+		}
 		if e.Outcome == NotLoaded || e.Warmth == LoadFailed {
 			p.warm, p.loading = false, false
 		}
@@ -774,7 +800,8 @@
 		p.copies = 1
 	}
 	p.life, p.warm, p.at, p.loading = w.life, true, r.now, false
-	w.sheds = 0
+	w.sheds, f.served = 0, true
+	w.errs, w.errsAt = r.errsOf(w)*(1-errsWeight), r.now
 	if !r.isCold(w) {
 		r.served++
 	}
@@ -957,7 +984,7 @@
 			// A new start: it is empty and cold, whatever was known of it before.
 			w.life++
 			w.limit, w.suspect, w.tries, w.others, w.quotaTill = r.limitStart(), false, 0, 0, 0
-			w.full, w.noLoads, w.sheds = 0, 0, 0
+			w.full, w.noLoads, w.sheds, w.errs = 0, 0, 0, 0
 		}
 		if in.State == Gone {
 			w.goneAt = r.now
