Try a call elsewhere whose answer is lost at a worker that answers others

Ruled out: breaks and short rests (none in the log then), the list, newcomers turned away (no line).

Found in router.go: watch() tries calls elsewhere only where a worker as a whole is silent, so what is lost alone runs into its time-out; ended() learns nothing from that, so certificado goes on being sent there.

Now a time-out at a worker that answered others meanwhile lets up to four calls that are overdue there be tried elsewhere too (eight in all, where a copy stands, while lanes are free; each that proves right earns another), and counts as an error of that worker, so that certificado goes elsewhere. Where no answer is lost nothing changes.

The new test fails without the change.

--- a/cmd/calicohill/program_test.go
+++ b/cmd/calicohill/program_test.go
@@ -446,6 +446,56 @@
 	}
 }
 
+// A worker that answers some calls and not others is no silent worker. Once that was seen, a call of which nothing
+// is heard there is tried elsewhere too, in time to be served.
+func TestLostAnswers(t *testing.T) {
+	var lost atomic.Int32
+	reply := func(home bool) func(int, goLine) string {
+		return func(n int, g goLine) string {
+			switch {
+			case home && g.body == "lose":
+				lost.Add(1)
+				return ""
+			case home && g.body == "fail":
+				return answerLine(g.id, "ERR", "-", "")
+			}
+			return echo(n, g)
+		}
+	}
+	a, b := newAgent(t, reply(true)), newAgent(t, reply(false))
+	s := newSite(t)
+	s.tell(true, "a SERVING "+a.addr)
+	s.start()
+	ask := func(f *front, body string) int {
+		f.send(call("consulta", body, [2]string{"HTTP_BUDGET_MS", "2000"}))
+		return f.read().status
+	}
+	f, other := s.front(), s.front()
+	ask(f, "warm") // at the first, and by an error there at the second
+	s.tell(false, "b SERVING "+b.addr)
+	until(t, "the second worker has served", func() bool { ask(f, "fail"); return len(b.had()) > 0 })
+
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() { // calls that the first worker answers
+		defer close(ended)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+				ask(other, "x")
+			}
+		}
+	}()
+	until(t, "a call whose answer was lost is served", func() bool {
+		before := lost.Load()
+		status := ask(f, "lose")
+		return status == 200 && lost.Load() > before
+	})
+	close(stop)
+	<-ended
+}
+
 // A worker that cannot be reached has run nothing: even certificado goes elsewhere.
 func TestUnreached(t *testing.T) {
 	s, a := newSite(t), newAgent(t, echo)
--- a/router.go
+++ b/router.go
@@ -43,6 +43,10 @@
 	// A worker of whose late answers more than errsMost are errors gets no calls that must not be repeated.
 	errsWeight, errsMost = 0.1, 0.15
 
+	// Calls overdue alone, at a worker that answers others, that may be sent elsewhere too: for each whose
+	// answer never came, and how many in all.
+	aloneMore, aloneMost = 4, 8
+
 	shedPauses = 16 // a worker that turns a call away is left alone for two such parts of a service time
 
 	widthMore = 2.0 // workers for a function, as a multiple of its part of the calls times all workers
@@ -74,6 +78,7 @@
 	funcList      []*function     // in order of first sight
 	leastAim, lat float64         // least aim of all classes and mean latency of warm calls, in seconds
 	well          int             // usable workers that do not answer errors
+	alone         int             // calls overdue alone that may be sent elsewhere too
 	lanes, busy   float64         // lanes that are usable; share of them that is taken
 	allCalls      float64         // of all functions, decaying
 	outWork       float64         // summed service times of attempts that are out, in seconds
@@ -417,6 +422,8 @@
 	return w.errs * math.Exp(-(r.now-w.errsAt).Seconds()/r.set.KeepAlive.Seconds())
 }
 
+func (r *Router) failed(w *worker) { w.errs, w.errsAt = r.errsOf(w)*(1-errsWeight)+errsWeight, r.now }
+
 // shuns reports whether a worker is not to have this request: it answers errors, and nothing could be tried
 // after one. Others go there still, show when it is well again, and are tried elsewhere.
 func (r *Router) shuns(q *request, w *worker) bool {
@@ -761,11 +768,17 @@
 	case NotLoaded, Errored:
 		r.answered(w)
 		if e.Outcome == Errored && f.served { // a function that no worker knows tells nothing of this one
-			w.errs, w.errsAt = r.errsOf(w)*(1-errsWeight)+errsWeight, r.now
+			r.failed(w)
 		}
 		if e.Outcome == NotLoaded || e.Warmth == LoadFailed {
 			p.warm, p.loading = false, false
 		}
+	case TimedOut:
+		r.missed(a, aloneMore)
+	case Cancelled:
+		if a.rescued { // the other was answered first
+			r.missed(a, 1)
+		}
 	case Reset:
 		// A connection that broke says little of its worker: one answer that cannot be read ends it too. If
 		// the process died, the next connection is refused, and nothing has run there. A worker that breaks
@@ -903,28 +916,44 @@
 	if overdue >= 2 {
 		r.doubt(w)
 	}
-	if w.State != Gone && !w.suspect {
-		return
-	}
+	ill := w.State == Gone || w.suspect
 	for _, a := range w.outs {
-		if !a.rescued && (w.State == Gone || r.now >= a.late || overdue >= 2) {
-			r.rescue(a)
+		switch {
+		case a.rescued:
+		case ill && (w.State == Gone || r.now >= a.late || overdue >= 2):
+			r.rescue(a, false)
+		case !ill && r.now >= a.late && w.lastAnswer > a.sent && r.alone > 0 && r.busy <= spillMost:
+			// A departure: the answer to one call may be lost where others get theirs. Where that was seen
+			// lately, a few are tried elsewhere too, at a copy that stands and while lanes are free. Harm: a
+			// heavy call runs twice.
+			if r.rescue(a, true); a.rescued {
+				r.alone--
+			}
 		}
 	}
 }
 
-// rescue gives an attempt up for another elsewhere, where the class allows one.
-func (r *Router) rescue(a *attempt) {
+// missed takes in that the answer to a call never came, though its worker answered others.
+func (r *Router) missed(a *attempt, more int) {
+	if w := a.w; !w.suspect && w.lastAnswer > a.sent {
+		r.alone = min(r.alone+more, aloneMost)
+		r.failed(w)
+	}
+}
+
+// rescue gives an attempt up for another elsewhere, where the class allows one; with beside only for one
+// beside it where a copy stands.
+func (r *Router) rescue(a *attempt, beside bool) {
 	q := a.q
 	if q.done || q.streams || q.out > 1 || !r.hopeful(q) || q.class.Effect == Unsafe {
 		return
 	}
-	if !r.set.SecondCopies && r.set.CanCancel {
+	if !r.set.SecondCopies && r.set.CanCancel && !beside {
 		a.rescued = true
 		r.act(Cancel{q.ID, a.n})
 	} else if r.set.SecondCopies {
 		w, warm := r.pick(q)
-		a.rescued = w != nil && w != a.w && r.send(q, w, warm)
+		a.rescued = w != nil && w != a.w && (warm || !beside) && r.send(q, w, warm)
 	}
 }
 
