Make the course of the test of lost answers certain

TestLostAnswers failed in 3 of 4 whole runs on 8 cores, and its goroutine then panicked for writing after the end of the test. Cause: a call counts as overdue alone only while its worker answers others, but while the lost call was out there its worker was the busier of the two, so the calls that should have been answered went to the other one; and which of the two got the call to be lost was drawn at each try.

Now those calls are of a function that stands at the first worker alone, and the second is the slower one (250 ms), so that the first is chosen wherever both hold a copy. The goroutine is ended by a cleanup on every path.

--- a/cmd/calicohill/program_test.go
+++ b/cmd/calicohill/program_test.go
@@ -449,33 +449,40 @@
 // A worker that answers some calls and not others is no silent worker. Once that was seen, a call of which nothing
 // is heard there is tried elsewhere too, in time to be served.
 func TestLostAnswers(t *testing.T) {
+	const asked, steady = "1111111111111111", "2222222222222222"
 	var lost atomic.Int32
-	reply := func(home bool) func(int, goLine) string {
-		return func(n int, g goLine) string {
-			switch {
-			case home && g.body == "lose":
-				lost.Add(1)
-				return ""
-			case home && g.body == "fail":
-				return answerLine(g.id, "ERR", "-", "")
-			}
-			return echo(n, g)
+	a := newAgent(t, func(n int, g goLine) string {
+		switch g.body {
+		case "lose":
+			lost.Add(1)
+			return ""
+		case "fail":
+			return answerLine(g.id, "ERR", "-", "")
 		}
-	}
-	a, b := newAgent(t, reply(true)), newAgent(t, reply(false))
+		return echo(n, g)
+	})
+	// The second worker is the slower one: wherever both hold a copy, the first is chosen once that is known.
+	b := newAgent(t, func(n int, g goLine) string {
+		time.Sleep(250 * time.Millisecond)
+		return echo(n, g)
+	})
 	s := newSite(t)
 	s.tell(true, "a SERVING "+a.addr)
 	s.start()
-	ask := func(f *front, body string) int {
-		f.send(call("consulta", body, [2]string{"HTTP_BUDGET_MS", "2000"}))
+	ask := func(f *front, function, body string) int {
+		f.send(call("consulta", body, [2]string{"HTTP_BUDGET_MS", "2000"}, [2]string{"HTTP_RESOURCE_KEY", function}))
 		return f.read().status
 	}
 	f, other := s.front(), s.front()
-	ask(f, "warm") // at the first, and by an error there at the second
+	// One function stands at the first alone, so that all its calls go there and are answered, whatever else is
+	// out. The other stands at both: at the first by a call, at the second by an error of the first.
+	ask(other, steady, "warm")
+	ask(f, asked, "warm")
 	s.tell(false, "b SERVING "+b.addr)
-	until(t, "the second worker has served", func() bool { ask(f, "fail"); return len(b.had()) > 0 })
+	until(t, "the second worker has served", func() bool { ask(f, asked, "fail"); return len(b.had()) > 0 })
 
 	stop, ended := make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() { close(stop); <-ended })
 	go func() { // calls that the first worker answers
 		defer close(ended)
 		for {
@@ -483,17 +490,15 @@
 			case <-stop:
 				return
 			case <-time.After(5 * time.Millisecond):
-				ask(other, "x")
+				ask(other, steady, "x")
 			}
 		}
 	}()
 	until(t, "a call whose answer was lost is served", func() bool {
 		before := lost.Load()
-		status := ask(f, "lose")
+		status := ask(f, asked, "lose")
 		return status == 200 && lost.Load() > before
 	})
-	close(stop)
-	<-ended
 }
 
 // A worker that cannot be reached has run nothing: even certificado goes elsewhere.
