Split the decisions into six files by concern, structures into packages

What decides nothing moved out: figures that fade, peaks, means and counts in a window (internal/decay), the hash order (internal/rendezvous), the token bucket of tenants (internal/bucket), and the check of the settings (api.go).

--- a/api.go
+++ b/api.go
@@ -1,6 +1,10 @@
 package calicohill
 
-import "time"
+import (
+	"errors"
+	"fmt"
+	"time"
+)
 
 // Settings tells a Router what the deployment allows, promises and charges. A Router keeps no other
 // configuration; it serves whatever it is told here.
@@ -49,6 +53,24 @@
 	ClientsRepeat bool // clients mark their repeats
 }
 
+// check returns the least aim of all classes, or what makes no sense.
+func (s *Settings) check() (least time.Duration, err error) {
+	if len(s.Classes) == 0 || s.Schedulers < 1 || s.MaxAttempts < 1 {
+		return 0, errors.New("calicohill: at least 1 class, 1 scheduler and 1 attempt are needed")
+	}
+	least = s.Classes[0].Aim
+	for i, c := range s.Classes {
+		if c.Aim <= 0 || c.Deadline <= 0 {
+			return 0, fmt.Errorf("calicohill: class %d: aim and deadline must be above 0", i)
+		}
+		least = min(least, c.Aim)
+	}
+	if s.ColdShare < 0 || s.LoadsPerCall < 0 || s.LoadsFree < 0 || s.TipMultiple < 0 {
+		return 0, errors.New("calicohill: settings below 0")
+	}
+	return least, nil
+}
+
 // Fees are points of the service figure, each times its rate.
 type Fees struct {
 	Waste    float64 // work that answered nothing, per work offered
--- /dev/null
+++ b/health.go
@@ -0,0 +1,171 @@
+package calicohill
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"calicohill/internal/decay"
+)
+
+// usable reports whether a worker may get work: a suspect one only a single trial at a time.
+func (r *Router) usable(w *worker) bool {
+	return w.State == Ready && (!w.suspect || len(w.outs) == 0 && r.now >= w.tryAt)
+}
+
+// survey counts the usable lanes, and what share of them is taken.
+func (r *Router) survey() {
+	r.busy, r.lanes, r.well = 0, 0, 0
+	for _, w := range r.list {
+		if r.usable(w) {
+			if r.errsOf(w) <= errsMost {
+				r.well++
+			}
+			r.busy += float64(len(w.outs) - w.loads)
+			r.lanes += w.limit
+		}
+	}
+	r.busy /= max(r.lanes, 1)
+}
+
+// doubt makes a worker suspect: it gets nothing but trials until it answers.
+func (r *Router) doubt(w *worker) {
+	if !w.suspect {
+		w.suspect, w.tries, w.tryAt = true, 0, r.now+trialAfter
+	}
+}
+
+// look is the regular look at what waits and what is overdue.
+func (r *Router) look() {
+	if r.askAgain > 0 && r.now >= r.askAgain {
+		r.askAgain = 0
+		r.act(Subscribe{true})
+	}
+	size := 0.0
+	for _, w := range r.list {
+		if r.watch(w); w.State == Ready && !r.isCold(w) {
+			size += r.size(w)
+		}
+	}
+	if gap := (r.now - r.servedAt).Seconds(); gap >= 1 {
+		if size > 0 {
+			r.perWeight.Add(r.served/gap/size, meanWeight)
+		}
+		r.served, r.servedAt = 0, r.now
+		r.tidy()
+	}
+}
+
+// watch looks for a worker that takes work and answers nothing: two attempts overdue and no answer since the
+// older went out; one alone may be a heavy request. Covers cut links, hangs and lost machines. Harm: a very
+// slow worker loses its traffic until a trial is answered. What is out there is tried elsewhere.
+func (r *Router) watch(w *worker) {
+	overdue := 0
+	for _, a := range w.outs {
+		if r.now >= a.late && w.lastAnswer < a.sent {
+			overdue++
+		}
+	}
+	if overdue >= 2 {
+		r.doubt(w)
+	}
+	ill := w.State == Gone || w.suspect
+	for _, a := range w.outs {
+		switch {
+		case a.rescued:
+		case ill && (w.State == Gone || r.now >= a.late || overdue >= 2):
+			r.rescue(a, false)
+		case !ill && r.now >= a.late && w.lastAnswer > a.sent && r.alone > 0 && r.busy <= spillMost:
+			// A departure: the answer to one call may be lost where others get theirs. Where that was seen
+			// lately, a few are tried elsewhere too, at a copy that stands and while lanes are free. Harm: a
+			// heavy call runs twice.
+			if r.rescue(a, true); a.rescued {
+				r.alone--
+			}
+		}
+	}
+}
+
+// missed takes in that the answer to a call never came, though its worker answered others.
+func (r *Router) missed(a *attempt, more int) {
+	if w := a.w; !w.suspect && w.lastAnswer > a.sent {
+		r.alone = min(r.alone+more, aloneMost)
+		r.failed(w)
+	}
+}
+
+// rescue gives an attempt up for another elsewhere, where the class allows one; with beside only for one
+// beside it where a copy stands.
+func (r *Router) rescue(a *attempt, beside bool) {
+	q := a.q
+	if q.done || q.streams || q.out > 1 || !r.hopeful(q) || q.class.Effect == Unsafe {
+		return
+	}
+	if !r.set.SecondCopies && r.set.CanCancel && !beside {
+		a.rescued = true
+		r.act(Cancel{q.ID, a.n})
+	} else if r.set.SecondCopies {
+		w, warm := r.pick(q)
+		a.rescued = w != nil && w != a.w && (warm || !beside) && r.send(q, w, warm)
+	}
+}
+
+func (r *Router) limitStart() float64 { return max(2, callsThere/float64(r.set.Schedulers)) }
+
+func (r *Router) follow(e WorkerList) {
+	if e.Kind == ListFailed {
+		r.askAgain = r.now + time.Second
+		return
+	}
+	r.version++
+	seen := map[string]bool{}
+	for _, in := range e.Workers {
+		seen[in.ID] = true
+		w := r.workers[in.ID]
+		if w == nil {
+			w = &worker{Worker: in, limit: r.limitStart(), lastAnswer: r.now}
+			r.workers[in.ID] = w
+			i, _ := slices.BinarySearchFunc(r.list, in.ID,
+				func(w *worker, id string) int { return cmp.Compare(w.ID, id) })
+			r.list = slices.Insert(r.list, i, w)
+			continue
+		}
+		if in.Started != w.Started && in.Started > 0 {
+			// A new start: it is empty and cold, whatever was known of it before.
+			w.life++
+			w.limit, w.suspect, w.tries, w.others, w.quotaTill = r.limitStart(), false, 0, 0, 0
+			w.full, w.noLoads, w.sheds, w.errs = 0, 0, 0, decay.Value{}
+		}
+		if in.State == Gone {
+			in, w.goneAt = w.Worker, r.now
+			in.State = Gone
+		}
+		w.Worker = in
+	}
+	for _, w := range r.list {
+		if e.Kind != ListChanges && !seen[w.ID] && w.State != Gone {
+			w.State, w.goneAt = Gone, r.now
+		}
+	}
+}
+
+// tidy forgets functions that nobody has called for long and workers that are gone, so that neither pile up:
+// new ones come all day.
+func (r *Router) tidy() {
+	gone := func(w *worker) bool {
+		return w.State == Gone && len(w.outs) == 0 && r.now-w.goneAt >= r.set.KeepAlive
+	}
+	r.list = slices.DeleteFunc(r.list, func(w *worker) bool {
+		if gone(w) {
+			delete(r.workers, w.ID)
+		}
+		return gone(w)
+	})
+	maps.DeleteFunc(r.funcs, func(_ string, f *function) bool {
+		f.pairs = slices.DeleteFunc(f.pairs, func(p *pair) bool { return p.out == 0 && gone(p.w) })
+		return r.now-f.lastCall >= 5*r.set.KeepAlive &&
+			!slices.ContainsFunc(f.pairs, func(p *pair) bool { return p.ordered || p.out > 0 }) &&
+			!slices.ContainsFunc(r.held, func(q *request) bool { return q.fn == f })
+	})
+}
--- /dev/null
+++ b/learn.go
@@ -0,0 +1,141 @@
+package calicohill
+
+import (
+	"cmp"
+	"slices"
+)
+
+// ended takes in how an attempt ended, and holds the request again if it may be tried once more.
+func (r *Router) ended(e AttemptEnd) {
+	q := r.requests[e.ID]
+	if q == nil || e.Attempt < 0 || e.Attempt >= len(q.attempts) || q.attempts[e.Attempt].ended {
+		return
+	}
+	a := q.attempts[e.Attempt]
+	w, p, f := a.w, a.p, q.fn
+	a.ended = true
+	q.reached = q.reached || e.Outcome != Unreached && e.Outcome != Unsent
+	a.proved = e.Outcome == Shed || e.Outcome == Unreached || e.Outcome == Unsent || e.Outcome == NotLoaded
+	q.out--
+	p.out--
+	w.outs = slices.DeleteFunc(w.outs, func(b *attempt) bool { return b == a })
+	if a.cold {
+		w.loads--
+	} else if r.outWork -= a.cost; r.outWork < 1e-9 {
+		r.outWork = 0
+	}
+	p.loading = p.loading && !(a.cold && p.out == 0)
+	if e.Report != nil && e.Report.InFlight >= 0 {
+		w.others += workerWeight * (max(0, e.Report.InFlight-float64(len(w.outs))) - w.others)
+	}
+	switch e.Outcome {
+	case Served:
+		r.learn(a, e)
+	case Shed:
+		// A warm call met a full queue, a cold one perhaps a want of memory: the worker, or just new loads
+		// there, is left alone for part of a service time, doubling, or held calls use up their attempts.
+		r.answered(w)
+		w.sheds = min(w.sheds+1, 4)
+		pause := r.now + seconds(r.service(f)/shedPauses)<<w.sheds
+		if w.noLoads = max(w.noLoads, pause); !a.cold {
+			w.full = max(w.full, pause)
+			w.limit = max(limitMin, w.limit*limitCut)
+		}
+	case NotLoaded, Errored:
+		r.answered(w)
+		if e.Outcome == Errored && f.served { // a function that no worker knows tells nothing of this one
+			r.failed(w)
+		}
+		if e.Outcome == NotLoaded || e.Warmth == LoadFailed {
+			p.warm, p.loading = false, false
+		}
+	case TimedOut:
+		r.missed(a, aloneMore)
+	case Cancelled:
+		if a.rescued { // the other was answered first
+			r.missed(a, 1)
+		}
+	case Reset:
+		// A connection that broke says little of its worker: one answer that cannot be read ends it too. If
+		// the process died, the next connection is refused, and nothing has run there. A worker that breaks
+		// time and again with no answer between is ill all the same.
+		if w.brokeAt < r.now { // what was lost with one connection counts once
+			w.breaks++
+		}
+		if w.brokeAt = r.now; w.breaks >= breaksMost {
+			r.doubt(w)
+		}
+	case Unreached:
+		// The process died or cannot be reached: what it held is gone with it.
+		w.life++
+		r.doubt(w)
+	}
+	switch {
+	case e.Closed || q.done:
+		r.close(q)
+	case q.streams && q.out == 0:
+		r.finish(q)
+	case q.out == 0:
+		r.hold(q) // release ends it if it is too late for another attempt
+	}
+}
+
+func (r *Router) answered(w *worker) {
+	if w.lastAnswer, w.breaks = r.now, 0; w.suspect {
+		w.suspect, w.tries, w.limit = false, 0, max(limitMin, min(w.limit, 2))
+	}
+}
+
+// learn takes in a served answer.
+func (r *Router) learn(a *attempt, e AttemptEnd) {
+	w, p, f := a.w, a.p, a.q.fn
+	r.answered(w)
+	lat := cmp.Or(e.Latency, r.now-a.sent).Seconds()
+	if p.life != w.life {
+		p.copies = 1
+	}
+	p.life, p.warm, p.at, p.loading = w.life, true, r.now, false
+	w.sheds, f.served = 0, true
+	w.errs.Set(r.now, r.errsOf(w)*(1-errsWeight))
+	if !r.isCold(w) {
+		r.served++
+	}
+	f.slowest.Note(r.now, 2*r.set.KeepAlive, lat)
+	if e.Warmth > FoundWarm || e.Warmth == WarmthUnknown && a.cold {
+		return
+	}
+	if e.Company >= 0 {
+		p.company += workerWeight * (float64(e.Company) - p.company)
+		p.copies = max(1, (e.Company+f.lanes)/f.lanes)
+	}
+	r.lat = cmp.Or(r.lat, lat)
+	w.pace.Set(r.now, r.paceOf(w)+workerWeight*(lat/r.lat-r.paceOf(w))-1)
+	r.lat += fleetWeight * (lat - r.lat)
+	f.mean.Set(r.now, r.service(f)+meanWeight*(lat-r.service(f))-r.set.Classes[f.class].Aim.Seconds())
+	aim := a.q.class.Aim.Seconds()
+	switch {
+	case lat > limitAims*aim:
+		w.limit = max(limitMin, w.limit*limitCut)
+	case lat < limitAims/2*aim && float64(len(w.outs)+1) >= w.limit/2:
+		w.limit = min(limitMax, w.limit+1/w.limit)
+	}
+}
+
+func (r *Router) loaded(e LoadEnd) {
+	w, f := r.workers[e.Worker], r.funcs[e.Function]
+	if w == nil || f == nil {
+		return
+	}
+	p := f.pair(w)
+	if p.ordered = false; e.Outcome == Served && e.Copies > 0 {
+		p.warm, p.life, p.at, p.copies = true, w.life, r.now, e.Copies
+	}
+}
+
+// errsOf is the share of a worker's late answers that are errors. It fades: that they have ceased is told by
+// nothing but new calls.
+func (r *Router) errsOf(w *worker) float64 {
+	return w.errs.At(r.now, r.set.KeepAlive)
+}
+
+func (r *Router) failed(w *worker) { w.errs.Set(r.now, r.errsOf(w)*(1-errsWeight)+errsWeight) }
--- a/router_test.go
+++ b/router_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"os"
 	"reflect"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
 )
@@ -108,22 +110,34 @@
 	return list
 }
 
+// The files that deploy/balancer.toml names as policy hold 950 lines together that are not blank.
 func TestModuleSize(t *testing.T) {
-	text, err := os.ReadFile("router.go")
+	deploy, err := os.ReadFile("deploy/balancer.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
+	list := regexp.MustCompile(`(?m)^policy = \[(.*)\]`).FindSubmatch(deploy)
+	if list == nil {
+		t.Fatal("no policy in deploy/balancer.toml")
+	}
 	n := 0
-	for i, line := range bytes.Split(text, []byte("\n")) {
-		if len(bytes.TrimSpace(line)) > 0 {
-			n++
+	for _, name := range strings.Split(string(list[1]), ", ") {
+		name = strings.Trim(name, `"`)
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
 		}
-		if w := len([]rune(string(bytes.ReplaceAll(line, []byte("\t"), []byte("    "))))); w > 110 {
-			t.Errorf("router.go:%d is %d columns wide, 110 are allowed", i+1, w)
+		for i, line := range bytes.Split(text, []byte("\n")) {
+			if len(bytes.TrimSpace(line)) > 0 {
+				n++
+			}
+			if w := len([]rune(string(bytes.ReplaceAll(line, []byte("\t"), []byte("    "))))); w > 110 {
+				t.Errorf("%s:%d is %d columns wide, 110 are allowed", name, i+1, w)
+			}
 		}
 	}
 	if n > 950 {
-		t.Errorf("router.go has %d lines that are not blank, 950 are allowed", n)
+		t.Errorf("the policy has %d lines that are not blank, 950 are allowed", n)
 	}
 }
 
@@ -352,7 +366,7 @@
 		return cold
 	}
 	serve(5 * time.Second) // about 100 calls a second on one warm worker
-	rate := b.r.perWeight
+	rate := float64(b.r.perWeight)
 	b.step(0, WorkerList{Workers: []Worker{{ID: "w1", State: Ready, Weight: 1, Started: b.now},
 		{ID: "w0", State: Draining}}})
 	started := b.now
@@ -484,7 +498,7 @@
 			q.Class = class
 			s := only[Send](b.step(ms, q))[0]
 			b.step(ms, end(s, 0, Served))
-			b.r.funcs["f"].mean = 0.3
+			b.r.funcs["f"].mean.Set(b.r.now, 0.3-b.r.set.Classes[class].Aim.Seconds())
 			b.r.outWork = c.ahead * b.r.lanes
 			q.ID = "b"
 			if got := len(only[Refuse](b.step(ms, q))) > 0; got != c.refused {
@@ -792,7 +806,7 @@
 			b.step(0, WorkerList{Kind: ListCached, Workers: fleet(4)})
 			b.warmUp(50, time.Second)
 			b.step(ms, WorkerList{Kind: ListFull, Workers: []Worker{{ID: "new", State: Ready, Weight: 1, Started: b.now}}})
-			budget += b.r.set.TipMultiple * b.r.set.ColdShare * b.r.perWeight * b.r.set.TipFor.Seconds()
+			budget += b.r.set.TipMultiple * b.r.set.ColdShare * float64(b.r.perWeight) * b.r.set.TipFor.Seconds()
 			for i := range 10 { // one window, with far more calls than the worker may get
 				for k := range 10 { // new functions: a fifth of them have the new worker as their first
 					id := fmt.Sprint("c", i, "-", k)
--- /dev/null
+++ b/rules.go
@@ -0,0 +1,139 @@
+package calicohill
+
+import (
+	"slices"
+	"time"
+)
+
+// maySend is the choke point of rules 2 to 4 for attempts: whether this request may go to this worker now.
+func (r *Router) maySend(q *request, w *worker) bool {
+	if q.done || r.now >= q.end || len(q.attempts) >= r.set.MaxAttempts || w.State != Ready ||
+		q.out > 0 && !r.set.SecondCopies {
+		return false
+	}
+	a := q.mayHaveRun()
+	if a != nil && (q.class.Effect == Unsafe || q.class.Effect == Keyed &&
+		(r.now-a.sent >= q.class.MemorySpan-r.set.Tick || !sameGroup(q.class.Scope, a.w, w))) {
+		return false
+	}
+	return r.coldRoom(w)
+}
+
+func sameGroup(s Scope, a, b *worker) bool {
+	return s == ScopeAll || s == ScopeZone && a.Zone == b.Zone || s == ScopeCell && a.Cell == b.Cell
+}
+
+// mayHaveRun is the first attempt that is not known never to have run.
+func (q *request) mayHaveRun() *attempt {
+	if i := slices.IndexFunc(q.attempts, func(a *attempt) bool { return !a.proved }); i >= 0 {
+		return q.attempts[i]
+	}
+	return nil
+}
+
+// hopeful reports whether some further attempt could be allowed at all.
+func (r *Router) hopeful(q *request) bool {
+	a := q.mayHaveRun()
+	if len(q.attempts) >= r.set.MaxAttempts || a == nil || q.class.Effect == Safe {
+		return len(q.attempts) < r.set.MaxAttempts
+	}
+	return q.class.Effect == Keyed && r.now-a.sent < q.class.MemorySpan-r.set.Tick &&
+		slices.ContainsFunc(r.list, func(w *worker) bool {
+			return w.State == Ready && sameGroup(q.class.Scope, a.w, w)
+		})
+}
+
+// failedAt reports whether the last attempt went to this worker and may have run: the next goes elsewhere.
+func (q *request) failedAt(w *worker) bool {
+	n := len(q.attempts)
+	return n > 0 && q.attempts[n-1].w == w && !q.attempts[n-1].proved
+}
+
+// coldRoom keeps a cold worker's budget: in each window that could tip it, this scheduler sends no more than
+// its share of what the worker can do, guessed from what warm workers answer this scheduler.
+func (r *Router) coldRoom(w *worker) bool {
+	if !r.isCold(w) {
+		return true
+	}
+	if r.now >= w.quotaTill {
+		// Shares under one call would add up if rounded: each scheduler draws whether it has one, and
+		// what it leaves unused lapses, or all savings could come at once.
+		most := coldMargin * r.set.TipMultiple * r.set.TipFor.Seconds()
+		budget := most * r.ripeness(w) * r.size(w) * float64(r.perWeight)
+		w.quota = int(budget + r.rng.Float64())
+		w.quotaTill = r.now + r.set.TipFor
+	}
+	return w.quota > 0
+}
+
+// ripeness is the share of its capacity that a worker can be counted on for.
+func (r *Router) ripeness(w *worker) float64 {
+	if !r.isCold(w) {
+		return 1
+	}
+	return r.set.ColdShare + (1-r.set.ColdShare)*max(0, (r.now-w.Started).Seconds()/r.set.ColdFor.Seconds())
+}
+
+// isCold reports whether a worker has started so lately that it can do only part of its work.
+func (r *Router) isCold(w *worker) bool { return w.Started > 0 && r.now-w.Started < r.set.ColdFor }
+
+// size is a worker's size, for comparison with others; 1 where sizes are not told.
+func (r *Router) size(w *worker) float64 {
+	if r.set.WeightsTold && w.Weight > 0 {
+		return w.Weight
+	}
+	return 1
+}
+
+// send is the only place that starts an attempt.
+func (r *Router) send(q *request, w *worker, warm bool) bool {
+	if !r.maySend(q, w) {
+		return false
+	}
+	p := q.fn.pair(w)
+	a := &attempt{q: q, n: len(q.attempts), w: w, p: p, sent: r.now, cost: r.service(q.fn), cold: !warm}
+	aim := q.class.Aim.Seconds()
+	patience := min(max(overdueAims*aim, overdueMeans*a.cost), aim)
+	if a.cold {
+		patience += overdueLoads * r.loadTime(q.fn)
+		if p.life != w.life || !p.loading {
+			p.life, p.warm, p.copies, p.loading = w.life, false, 1, true
+		}
+	}
+	a.late = r.now + seconds(patience)
+	q.attempts = append(q.attempts, a)
+	q.out++
+	p.out++
+	w.outs = append(w.outs, a)
+	if a.cold {
+		w.loads++
+	} else {
+		r.outWork += a.cost
+	}
+	if r.isCold(w) {
+		w.quota--
+	}
+	if w.suspect {
+		w.tries++
+		w.tryAt = r.now + trialAfter<<min(w.tries, 3)
+	}
+	r.act(Send{q.ID, w.ID, max(q.end-r.now-r.set.Tick, time.Millisecond)})
+	return true
+}
+
+// order is the only place that orders a load. All orders with a count above 0 are rationed.
+func (r *Router) order(w *worker, f *function) {
+	if !r.set.CanLoad || w.State != Ready || f.pair(w).ordered {
+		return
+	}
+	if r.set.LoadWindow > 0 {
+		// A call may have come up to a tick before its batch: those near the window's edge are left out.
+		calls := float64(r.calls.Within(r.now, r.set.LoadWindow-r.set.Tick-beat))
+		if float64(r.orders.Within(r.now, r.set.LoadWindow)+1) > r.set.LoadsFree+r.set.LoadsPerCall*calls {
+			return
+		}
+		r.orders.Add(r.now)
+	}
+	f.pair(w).ordered = true
+	r.act(Load{w.ID, f.name, 1})
+}
