Give the program commands, an operator's file and logs by part

- cobra: run (and still no command), check, call, version, completion; the old flags keep their one dash.
Exit codes 0, 1 and, for wrong use, 2.
- internal/operator: one table of directives, from which the parser, the checker, the example and the operators' page come; every fault of a file and its includes in one pass, with place and nearest word.
SIGHUP takes it up whole or leaves all as it was.
- internal/logs: a logger for each part, levels and form reloadable.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run calicohill.
 
-.PHONY: build test race lint fuzz run
+.PHONY: build test race lint fuzz run serve generate
 
 build: ## both programs, as the platform builds them
 	mkdir -p bin && go build -buildvcs=false -o bin/ ./cmd/...
@@ -17,8 +17,20 @@
 	go tool staticcheck ./...
 
 fuzz: ## each parser for a while
-	for p in fastcgi agent bulletin; do go test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./internal/$$p || exit 1; done
+	for p in fastcgi agent bulletin operator; do go test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./internal/$$p || exit 1; done
 
-run: build ## the example: a toy bulletin and agent, and a scheduler in front of them
-	go build -buildvcs=false -o bin/toy ./example
-	bin/toy & toy=$$!; trap "kill $$toy" EXIT; bin/calicohill -config example/config.json
+run: build ## the example: a toy bulletin and agent, a scheduler in front of them, and a call that it serves
+	@$(example); bin/calicohill call consulta --wait 10s --body hello
+
+serve: build ## the same, left running
+	@$(example); wait
+
+generate: ## what is written from the table of the operator's file
+	go run ./cmd/calicohill check --example >deploy/calicohill.conf
+	go run ./cmd/calicohill check --page >docs/operators/settings.md
+
+define example
+go build -buildvcs=false -o bin/toy ./example && { \
+	bin/toy & toy=$$!; bin/calicohill --config example/config.json & scheduler=$$!; \
+	trap "kill $$toy $$scheduler" EXIT; }
+endef
--- /dev/null
+++ b/cmd/calicohill/check.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+
+	"calicohill/internal/config"
+	"calicohill/internal/operator"
+
+	"github.com/spf13/cobra"
+)
+
+func checkCommand() *cobra.Command {
+	var platform string
+	var example, page bool
+	cmd := &cobra.Command{
+		Use: "check FILE...", Short: "Check operator's files, and the platform's configuration",
+		Long: "Check reads operator's files as a scheduler would, and tells of every fault as\n" +
+			"FILE:LINE:COLUMN: directive: reason. It ends with 0 where there is none, and with 1 otherwise.",
+		Example: "  calicohill check deploy/calicohill.conf\n" +
+			"  calicohill check --config example/config.json deploy/calicohill.conf\n" +
+			"  calicohill check --example >calicohill.conf",
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) == 0 && platform == "" && !example && !page {
+				return usageError{errors.New("check takes the names of files, or --config")}
+			}
+			return nil
+		},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			out := cmd.OutOrStdout()
+			if example {
+				fmt.Fprint(out, operator.Example())
+				return nil
+			}
+			if page {
+				fmt.Fprint(out, operator.Page())
+				return nil
+			}
+			bad := 0
+			if platform != "" {
+				// A file holds no name or address where the environment tells them.
+				if _, err := config.Read(platform, "", ""); err != nil {
+					fmt.Fprintln(out, err)
+					bad++
+				}
+			}
+			for _, file := range args {
+				if _, err := operator.Read(file); err != nil {
+					fmt.Fprintln(out, err)
+					bad++
+				}
+			}
+			if bad > 0 {
+				return fmt.Errorf("%d of the files checked can't be used", bad)
+			}
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&platform, "config", "", "the platform's `FILE` to check too")
+	f.BoolVar(&example, "example", false, "print the commented example of an operator's file")
+	f.BoolVar(&page, "page", false, "print the operators' page of the file, in Markdown")
+	return cmd
+}
--- /dev/null
+++ b/cmd/calicohill/command_test.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// command runs the program to its end and returns what it wrote and its exit code.
+func command(t *testing.T, args ...string) (string, int) {
+	t.Helper()
+	cmd, out := program(t, args...)
+	err := cmd.Run()
+	if err != nil && cmd.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return out.String(), cmd.ProcessState.ExitCode()
+}
+
+func TestCommands(t *testing.T) {
+	dir := t.TempDir()
+	bad := filepath.Join(dir, "bad.conf")
+	if err := os.WriteFile(bad, []byte("log\n  levle info\n  format xml\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args string
+		exit int
+		says string
+	}{
+		{"", 1, "no configuration"},
+		{"run", 1, "no configuration"},
+		{"-config /dev/null", 1, "calicohill: configuration /dev/null"},
+		{"--config=/dev/null run", 1, "calicohill: configuration /dev/null"},
+		{"-config /dev/null -operator x", 2, "unknown shorthand flag"},
+		{"frobnicate", 2, `unknown command or argument "frobnicate"`},
+		{"--frobnicate", 2, "unknown flag"},
+		{"check", 2, "takes the names of files"},
+		{"check " + bad, 1, bad + `:2:3: levle: section log has no such directive: is "level" meant?`},
+		{"check " + bad, 1, bad + `:3:10: format: "xml" is none of text, json`},
+		{"check --config ../../example/config.json ../../deploy/calicohill.conf", 0, ""},
+		{"check --config /dev/null", 1, "configuration /dev/null"},
+		{"call", 2, "takes CLASS"},
+		{"call consulta --count 0", 2, "1 at least"},
+		{"call consulta --to 127.0.0.1:1", 1, "refused"},
+		{"version", 0, "calicohill "},
+		{"call --help", 0, "calicohill call consulta --to"},
+		{"completion bash", 0, "bash completion"},
+	} {
+		out, exit := command(t, strings.Fields(c.args)...)
+		if exit != c.exit || !strings.Contains(out, c.says) {
+			t.Errorf("calicohill %s: exit code %d, want %d and %q in:\n%s", c.args, exit, c.exit, c.says, out)
+		}
+	}
+}
+
+func TestCall(t *testing.T) {
+	s, _ := one(t, func(n int, g goLine) string {
+		if g.body == "lose" {
+			return answerLine(g.id, "ERR", "-", "")
+		}
+		return echo(n, g)
+	})
+	for _, c := range []struct {
+		args []string
+		exit int
+		says string
+	}{
+		{[]string{"consulta", "--body", "hello", "--wait", "5s"}, 0, "re:hello"},
+		{[]string{"registro-horas", "--count", "100", "--at-a-time", "2"}, 0, "100 served, 0 refused, 0 failed, 0 unanswered"},
+		{[]string{"certificado", "--body", "lose"}, 1, "failed, status 502"},
+		{[]string{"nonsense"}, 1, "failed, status 400"},
+	} {
+		out, exit := command(t, append([]string{"call", "--to", s.addr}, c.args...)...)
+		if exit != c.exit || !strings.Contains(out, c.says) {
+			t.Errorf("call %v: exit code %d, want %d and %q in:\n%s", c.args, exit, c.exit, c.says, out)
+		}
+	}
+}
+
+// A reload takes up the operator's file whole, or leaves all as it was with a line for each fault.
+func TestReloadOperatorsFile(t *testing.T) {
+	a := newAgent(t, echo)
+	s := newSite(t)
+	s.tell(true, "a SERVING "+a.addr)
+	s.operator = filepath.Join(t.TempDir(), "o.conf")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(s.operator, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("log\n  level info\n")
+	s.start()
+	reload := func(text, says string) {
+		t.Helper()
+		write(text)
+		if err := s.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		until(t, "the log says "+says, func() bool { return strings.Contains(s.log.String(), says) })
+	}
+	reload("log\n  format xml\n  level loud\n", `:3:9: level:`)
+	if got := strings.Count(s.log.String(), "operator's file not read again: the old one stands"); got != 2 {
+		t.Errorf("%d lines for 2 faults", got)
+	}
+	reload("log\n  format json\n", `"msg":"configuration read again"`)
+	reload("log\n  format json\n  level error\n  level info bulletin\n", "") // takes effect without a word
+	f := s.front()
+	f.send(call("consulta", "x"))
+	if got := f.read(); got.status != 200 {
+		t.Errorf("status %d after reloads", got.status)
+	}
+	s.tell(false, "b SERVING "+a.addr)
+	until(t, "a part has its own level", func() bool { return strings.Contains(s.log.String(), `"part":"bulletin"`) })
+}
+
+func TestCheckedAtTheStart(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.conf")
+	if err := os.WriteFile(bad, []byte("log\n  level loud\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, exit := command(t, "--config", "../../example/config.json", "--operator", bad)
+	if want := "calicohill: " + bad + ":2:9: level:"; exit != 1 || !strings.Contains(out, want) || strings.Count(out, "\n") != 1 {
+		t.Errorf("exit code %d and %q, want 1 and one line with %q", exit, out, want)
+	}
+}
--- a/cmd/calicohill/main.go
+++ b/cmd/calicohill/main.go
@@ -1,145 +1,93 @@
 // Command calicohill is the scheduler: it takes requests from clients, has the decision module decide where
-// each goes, and passes them on to the node agents that the bulletin lists.
+// each goes, and passes them on to the node agents that the bulletin lists. Further commands check settings and
+// call a scheduler that runs.
 package main
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"syscall"
-	"time"
+	"strings"
 
-	"calicohill"
-	"calicohill/internal/agent"
-	"calicohill/internal/buffer"
-	"calicohill/internal/bulletin"
-	"calicohill/internal/config"
-	"calicohill/internal/deadline"
-	"calicohill/internal/dispatch"
-	"calicohill/internal/fastcgi"
-	"calicohill/internal/loop"
-
-	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
 )
 
+// Exit codes.
 const (
-	// drainFor is how long after SIGTERM requests still come: the platform turns clients away meanwhile.
-	drainFor = 700 * time.Millisecond
-	// unfinished is how much longer the rest of a request that has begun to come is waited for.
-	unfinished = time.Second
-	// lookEvery is how often it is seen whether all is answered, and so how long the last answers may take to leave.
-	lookEvery = 50 * time.Millisecond
-	// leastAnswer and mostAnswer are the bounds of the longest answer that is taken from a worker, in bytes.
-	leastAnswer, mostAnswer = 64 << 10, 1 << 20
+	exitFailure = 1
+	exitUsage   = 2 // the command line makes no sense
 )
 
+// usageError is an error of the command line.
+type usageError struct{ error }
+
 func main() {
-	path := flag.String("config", os.Getenv("ROUTER_CONFIG"), "configuration `file` (ROUTER_CONFIG)")
-	name := flag.String("name", os.Getenv("ROUTER_NAME"), "`name` of this scheduler (ROUTER_NAME)")
-	listen := flag.String("listen", os.Getenv("ROUTER_LISTEN"), "`address` for clients (ROUTER_LISTEN)")
-	flag.Parse()
-	log := logrus.New()
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
-		TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
-	if err := run(log, *path, *name, *listen); err != nil {
+	root := rootCommand()
+	root.SetArgs(long(os.Args[1:]))
+	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "calicohill:", err)
-		os.Exit(1)
+		if errors.As(err, &usageError{}) {
+			os.Exit(exitUsage)
+		}
+		os.Exit(exitFailure)
 	}
 }
 
-func run(log *logrus.Logger, path, name, listen string) error {
-	if path == "" {
-		return errors.New("no configuration: set ROUTER_CONFIG or -config")
-	}
-	cfg, err := config.Read(path, name, listen)
-	if err != nil {
-		return err
-	}
-	router, err := calicohill.New(cfg.Site.Settings, cfg.Seed)
-	if err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
-	runtime.GOMAXPROCS(1) // the machine has one core
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+func rootCommand() *cobra.Command {
+	root := runCommand()
+	root.Use, root.Short = "calicohill", "A scheduler for short calls of functions that workers must hold loaded"
+	root.SilenceErrors, root.SilenceUsage = true, true
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	root.AddCommand(runCommand(), checkCommand(), callCommand(), versionCommand())
+	return root
+}
 
-	l := loop.New()
-	l.Logger = log
-	clients := cfg.Sockets / 3
-	// A third of the memory may go into what is read and not answered yet.
-	pool := buffer.NewPool(cfg.MemoryMB << 20 / 3 / buffer.Size)
-	d := dispatch.New(l, router, pool, cfg.Site.MaxOpen)
-	agents := agent.New(l, d, agent.Options{Classes: cfg.Site.ClassNames, Streams: cfg.Site.Streams,
-		IdleClose: cfg.Site.IdleClose, ConnectTimeout: cfg.Site.ConnectTimeout,
-		// gnet ends its loop when a connection cannot be accepted for want of descriptors: another third
-		// stays free for dials under way, the bulletin and the runtime.
-		MaxConns: cfg.Sockets / 3,
-		// Even if every connection had an answer coming that never ends, a quarter of the memory is enough.
-		MaxAnswer: min(max(cfg.MemoryMB<<20/4/(cfg.Sockets/3), leastAnswer), mostAnswer)}, log)
-	d.Use(agents)
-	server := fastcgi.New(l, d, pool, &cfg.Site, clients, log)
-	watch, err := bulletin.New(l, cfg.Bulletin, cfg.Known, cfg.Site.Zones, cfg.Site.Kinds, d.List, log)
-	if err != nil {
-		return fmt.Errorf("configuration %s: %w", path, err)
-	}
-	// Told before anything is served: a SIGHUP that nobody heeds ends the program.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
-	reload := func(os.Signal) {
-		// Only the address of the bulletin is taken from the new file: what is out, and all that was learned,
-		// stands. A file that cannot be used changes nothing, or a slip of the pen would end a good scheduler.
-		next, err := config.Read(path, name, listen)
-		if err != nil {
-			log.WithError(err).Error("configuration not read again: the old one stands")
-			return
+// long lets the flags that the program had before it had commands keep their one dash.
+func long(args []string) []string {
+	out := make([]string, len(args))
+	for i, a := range args {
+		out[i] = a
+		name, _, _ := strings.Cut(a, "=")
+		if name == "-config" || name == "-name" || name == "-listen" {
+			out[i] = "-" + a
 		}
-		l.Post(func() { watch.Move(next.Bulletin) })
-		log.WithField("bulletin", next.Bulletin).Info("configuration read again")
-	}
-	draining := false
-	l.Accept = server.Accept
-	l.Boot = func() {
-		watch.Start()
-		go heed(signals, l, reload, func(s os.Signal) {
-			if !draining {
-				draining = true
-				log.WithField("signal", s.String()).Info("draining")
-				drain(l, d, server)
-			}
-		})
-		log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen}).Info("scheduler started")
 	}
-	if err := l.Run(cfg.Listen); err != nil {
-		return err
+	return out
+}
+
+// none refuses arguments.
+func none(cmd *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return usageError{fmt.Errorf("%s: unknown command or argument %q; see %s --help", cmd.CommandPath(), args[0], cmd.CommandPath())}
 	}
-	log.Info("scheduler ended")
 	return nil
 }
 
-// heed acts on signals for as long as the program runs: SIGHUP has the configuration read again, SIGTERM or an
-// interrupt begins the end.
-func heed(signals <-chan os.Signal, l *loop.Loop, reload, drain func(os.Signal)) {
-	for s := range signals {
-		if s == syscall.SIGHUP {
-			reload(s)
-			continue
+// exactly refuses any other number of arguments.
+func exactly(names ...string) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if len(args) != len(names) {
+			return usageError{fmt.Errorf("%s takes %s", cmd.CommandPath(), strings.Join(names, " "))}
 		}
-		l.Post(func() { drain(s) })
+		return nil
 	}
 }
 
-// drain stops the loop once requests have ceased to come and all are answered.
-func drain(l *loop.Loop, d *dispatch.Dispatcher, server *fastcgi.Server) {
-	wait, from := &deadline.Entry{}, l.Now()
-	wait.Fire = func() {
-		if d.Open() > 0 || server.Streams() > 0 && l.Now()-from < drainFor+unfinished {
-			l.At(wait, l.Now()+lookEvery)
-			return
-		}
-		go l.Stop()
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print what this program was built from", Args: none,
+		Run: func(cmd *cobra.Command, _ []string) {
+			version, goVersion, revision := "unknown", "unknown", ""
+			if b, ok := debug.ReadBuildInfo(); ok {
+				version, goVersion = b.Main.Version, b.GoVersion
+				for _, s := range b.Settings {
+					if s.Key == "vcs.revision" {
+						revision = " " + s.Value
+					}
+				}
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "calicohill %s%s %s\n", version, revision, goVersion)
+		},
 	}
-	l.At(wait, from+drainFor)
 }
--- a/cmd/calicohill/rig_test.go
+++ b/cmd/calicohill/rig_test.go
@@ -41,7 +41,7 @@
 		t.Fatal(err)
 	}
 	cmd, log := exec.Command(self, args...), &lines{}
-	cmd.Env = append(os.Environ(), "CALICOHILL_AS_PROGRAM=1", "ROUTER_CONFIG=", "ROUTER_NAME=", "ROUTER_LISTEN=")
+	cmd.Env = append(os.Environ(), "CALICOHILL_AS_PROGRAM=1", "ROUTER_CONFIG=", "ROUTER_NAME=", "ROUTER_LISTEN=", "CALICOHILL_OPERATOR=")
 	cmd.Stdout, cmd.Stderr = log, log
 	return cmd, log
 }
@@ -75,6 +75,7 @@
 	sockets  int
 	bulletin *httptest.Server
 	config   string         // its file
+	operator string         // the operator's; "" if none
 	polling  map[string]int // polls that are open, by the address of the bulletin
 }
 
@@ -194,7 +195,7 @@
 	}
 	s.config = filepath.Join(s.t.TempDir(), "config.json")
 	s.configure()
-	s.cmd, s.log = program(s.t, "-config", s.config)
+	s.cmd, s.log = program(s.t, "-config", s.config, "--operator", s.operator)
 	if err := s.cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
--- /dev/null
+++ b/cmd/calicohill/run.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"calicohill"
+	"calicohill/internal/agent"
+	"calicohill/internal/buffer"
+	"calicohill/internal/bulletin"
+	"calicohill/internal/config"
+	"calicohill/internal/deadline"
+	"calicohill/internal/dispatch"
+	"calicohill/internal/fastcgi"
+	"calicohill/internal/logs"
+	"calicohill/internal/loop"
+	"calicohill/internal/operator"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+)
+
+const (
+	// drainFor is how long after SIGTERM requests still come: the platform turns clients away meanwhile.
+	drainFor = 700 * time.Millisecond
+	// unfinished is how much longer the rest of a request that has begun to come is waited for.
+	unfinished = time.Second
+	// lookEvery is how often it is seen whether all is answered, and so how long the last answers may take to leave.
+	lookEvery = 50 * time.Millisecond
+	// leastAnswer and mostAnswer are the bounds of the longest answer that is taken from a worker, in bytes.
+	leastAnswer, mostAnswer = 64 << 10, 1 << 20
+)
+
+// places is where a scheduler is told what to do: flags go before variables, and those before the file.
+type places struct {
+	config, name, listen string
+	operator             string // "" if there is no operator's file
+}
+
+func (p *places) flags(cmd *cobra.Command) {
+	f := cmd.Flags()
+	f.StringVar(&p.config, "config", os.Getenv("ROUTER_CONFIG"), "configuration `FILE` of the platform (ROUTER_CONFIG)")
+	f.StringVar(&p.name, "name", os.Getenv("ROUTER_NAME"), "`NAME` of this scheduler (ROUTER_NAME)")
+	f.StringVar(&p.listen, "listen", os.Getenv("ROUTER_LISTEN"), "`ADDRESS` for clients (ROUTER_LISTEN)")
+	f.StringVar(&p.operator, "operator", os.Getenv("CALICOHILL_OPERATOR"), "operator's `FILE` (CALICOHILL_OPERATOR)")
+}
+
+// read reads all that there is to read. The settings of no file are returned where none is named.
+func (p *places) read() (*config.Config, *operator.Settings, error) {
+	if p.config == "" {
+		return nil, nil, errors.New("no configuration: set ROUTER_CONFIG or --config")
+	}
+	cfg, err := config.Read(p.config, p.name, p.listen)
+	if err != nil {
+		return nil, nil, err
+	}
+	if p.operator == "" {
+		return cfg, operator.None(), nil
+	}
+	set, err := operator.Read(p.operator)
+	return cfg, set, err
+}
+
+func runCommand() *cobra.Command {
+	var p places
+	cmd := &cobra.Command{
+		Use: "run", Short: "Run a scheduler; what the program does without a command",
+		Example: "  calicohill run --config example/config.json\n" +
+			"  ROUTER_CONFIG=example/config.json calicohill",
+		Args: none,
+		RunE: func(*cobra.Command, []string) error { return run(p) },
+	}
+	p.flags(cmd)
+	return cmd
+}
+
+func run(from places) error {
+	cfg, own, err := from.read()
+	if err != nil {
+		return err
+	}
+	parts, err := logs.New(os.Stderr, own.Log)
+	if err != nil {
+		return err
+	}
+	log := parts.Part("scheduler")
+	router, err := calicohill.New(cfg.Site.Settings, cfg.Seed)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	runtime.GOMAXPROCS(1) // the machine has one core
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+
+	l := loop.New()
+	l.Logger = log
+	clients := cfg.Sockets / 3
+	// A third of the memory may go into what is read and not answered yet.
+	pool := buffer.NewPool(cfg.MemoryMB << 20 / 3 / buffer.Size)
+	d := dispatch.New(l, router, pool, cfg.Site.MaxOpen)
+	agents := agent.New(l, d, agent.Options{Classes: cfg.Site.ClassNames, Streams: cfg.Site.Streams,
+		IdleClose: cfg.Site.IdleClose, ConnectTimeout: cfg.Site.ConnectTimeout,
+		// gnet ends its loop when a connection cannot be accepted for want of descriptors: another third
+		// stays free for dials under way, the bulletin and the runtime.
+		MaxConns: cfg.Sockets / 3,
+		// Even if every connection had an answer coming that never ends, a quarter of the memory is enough.
+		MaxAnswer: min(max(cfg.MemoryMB<<20/4/(cfg.Sockets/3), leastAnswer), mostAnswer)}, parts.Part("agent"))
+	d.Use(agents)
+	server := fastcgi.New(l, d, pool, &cfg.Site, clients, parts.Part("clients"))
+	watch, err := bulletin.New(l, cfg.Bulletin, cfg.Known, cfg.Site.Zones, cfg.Site.Kinds, d.List,
+		parts.Part("bulletin"))
+	if err != nil {
+		return fmt.Errorf("configuration %s: %w", from.config, err)
+	}
+	// Told before anything is served: a SIGHUP that nobody heeds ends the program.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	reload := func(os.Signal) {
+		// Of the platform's file only the address of the bulletin is taken: what is out, and all that was learned,
+		// stands. A file that cannot be used changes nothing, or a slip of the pen would end a good scheduler.
+		next, nextOwn, err := from.read()
+		var faults operator.Faults
+		if errors.As(err, &faults) {
+			for _, f := range faults {
+				log.WithError(f).Error("operator's file not read again: the old one stands")
+			}
+			return
+		}
+		if err == nil {
+			err = parts.Apply(nextOwn.Log)
+		}
+		if err != nil {
+			log.WithError(err).Error("configuration not read again: the old one stands")
+			return
+		}
+		l.Post(func() { watch.Move(next.Bulletin) })
+		log.WithField("bulletin", next.Bulletin).Info("configuration read again")
+	}
+	draining := false
+	l.Accept = server.Accept
+	l.Boot = func() {
+		watch.Start()
+		go heed(signals, l, reload, func(s os.Signal) {
+			if !draining {
+				draining = true
+				log.WithField("signal", s.String()).Info("draining")
+				drain(l, d, server)
+			}
+		})
+		log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen}).Info("scheduler started")
+	}
+	if err := l.Run(cfg.Listen); err != nil {
+		return err
+	}
+	log.Info("scheduler ended")
+	return nil
+}
+
+// heed acts on signals for as long as the program runs: SIGHUP has the configuration read again, SIGTERM or an
+// interrupt begins the end.
+func heed(signals <-chan os.Signal, l *loop.Loop, reload, drain func(os.Signal)) {
+	for s := range signals {
+		if s == syscall.SIGHUP {
+			reload(s)
+			continue
+		}
+		l.Post(func() { drain(s) })
+	}
+}
+
+// drain stops the loop once requests have ceased to come and all are answered.
+func drain(l *loop.Loop, d *dispatch.Dispatcher, server *fastcgi.Server) {
+	wait, from := &deadline.Entry{}, l.Now()
+	wait.Fire = func() {
+		if d.Open() > 0 || server.Streams() > 0 && l.Now()-from < drainFor+unfinished {
+			l.At(wait, l.Now()+lookEvery)
+			return
+		}
+		go l.Stop()
+	}
+	l.At(wait, from+drainFor)
+}
--- a/internal/fastcgi/server.go
+++ b/internal/fastcgi/server.go
@@ -13,6 +13,7 @@
 	"calicohill/internal/buffer"
 	"calicohill/internal/deadline"
 	"calicohill/internal/dispatch"
+	"calicohill/internal/logs"
 	"calicohill/internal/loop"
 	"calicohill/internal/settings"
 	"calicohill/internal/slot"
@@ -31,8 +32,6 @@
 	firstWithin = 250 * time.Millisecond
 	// clientIdle is how long after its last request a client closes a connection by itself.
 	clientIdle = 4 * time.Second
-	// logEvery is how often each kind of complaint about clients is logged at the most.
-	logEvery = time.Second
 	// backlog is how much may wait unsent for a client until it counts as not reading.
 	backlog = 4 << 20
 )
@@ -59,7 +58,7 @@
 	site       *settings.Site
 	classes    map[string]int
 	maxConns   int
-	log        logrus.FieldLogger
+	log        logs.Thinned
 
 	conns int
 	// Connections that never had a request whole, in the order they came, and those that had and have none
@@ -67,16 +66,9 @@
 	silent, idle list.List
 
 	streams slot.Table[*stream]
-	logged  map[string]complaint // by message
 	scratch []byte
 }
 
-// complaint is when a message was last logged, and how often it was left out since.
-type complaint struct {
-	at   time.Duration
-	more int
-}
-
 // conn is a client's connection. It is its loop.Peer.
 type conn struct {
 	s       *Server
@@ -108,7 +100,7 @@
 // New returns a Server that lets in at most maxConns connections.
 func New(l Loop, d Dispatcher, pool *buffer.Pool, site *settings.Site, maxConns int, log logrus.FieldLogger) *Server {
 	s := &Server{loop: l, dispatcher: d, pool: pool, site: site, classes: map[string]int{}, maxConns: maxConns,
-		logged: map[string]complaint{}, log: log}
+		log: logs.Thinned{Log: log}}
 	for i, name := range site.ClassNames {
 		s.classes[name] = i
 	}
@@ -217,20 +209,7 @@
 
 // complain logs what clients do wrong, each message once in a while: thousands of bad requests must not become
 // thousands of lines.
-func (s *Server) complain(message string, err error) {
-	l, now := s.logged[message], s.loop.Now()
-	if l.at > 0 && now-l.at < logEvery {
-		l.more++
-		s.logged[message] = l
-		return
-	}
-	s.logged[message] = complaint{at: now}
-	e := s.log.WithField("more", l.more)
-	if err != nil {
-		e = e.WithError(err)
-	}
-	e.Warn(message)
-}
+func (s *Server) complain(message string, err error) { s.log.Warn(s.loop.Now(), message, err) }
 
 // Streams is the number of requests begun and not ended.
 func (s *Server) Streams() int { return s.streams.Len() }
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,175 @@
+package operator
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// files writes files into a folder of their own; names ending in .key get the mode that keys need.
+func files(t *testing.T, texts map[string]string) string {
+	t.Helper()
+	dir := t.TempDir()
+	for name, text := range texts {
+		mode := os.FileMode(0o644)
+		if strings.HasSuffix(name, ".key") {
+			mode = 0o600
+		}
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), mode); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+const whole = `log
+    format json   # for the collector
+    level  warning
+    level  debug gossip
+include peers.conf
+`
+
+const peers = "gossip\r\n\tlisten 127.0.0.1:7946\r\n\tfleet \"gt-registros\"\r\n\tkey n1.key\r\n\tauthority fleet.crt\r\n" +
+	"\tseed 127.0.0.1:7947\r\n\tseed [::1]:7948\r\n\tprobe-every 500ms\r\n\tleave-out 12.5%\r\n\tliars 2\r\n"
+
+func TestRead(t *testing.T) {
+	dir := files(t, map[string]string{"a.conf": whole, "peers.conf": peers, "n1.key": "", "fleet.crt": ""})
+	got, err := Read(filepath.Join(dir, "a.conf"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &Settings{Log: Log{JSON: true, Level: "warning", Parts: map[string]string{"gossip": "debug"}},
+		Gossip: &Gossip{Listen: address("127.0.0.1:7946"), Advertise: address("127.0.0.1:7946"), Fleet: "gt-registros",
+			Key: filepath.Join(dir, "n1.key"), Authorities: []string{filepath.Join(dir, "fleet.crt")},
+			ProbeEvery: 500 * time.Millisecond, ProbeTimeout: 300 * time.Millisecond, SuspectFor: 5 * time.Second,
+			Messages: 20, Checks: 400, ClockSkew: 5 * time.Second, Overlap: 10 * time.Minute, Liars: 2,
+			LeaveOut: 0.125, ForgetAfter: 10 * time.Second}}
+	want.Gossip.Seeds = append(want.Gossip.Seeds, address("127.0.0.1:7947"), address("[::1]:7948"))
+	if d := cmp.Diff(want, got, cmp.Comparer(func(a, b interface{ String() string }) bool { return a.String() == b.String() })); d != "" {
+		t.Error(d)
+	}
+}
+
+// Every fault of a file is told of in one pass, with its place.
+func TestFaults(t *testing.T) {
+	dir := files(t, map[string]string{"a.conf": `    format text
+log
+    formt json
+    level loud
+    level info clients extra
+    format "json
+    format json
+    format text
+logs
+    level info
+gossip
+    listen 127.0.0.1
+    fleet a/b
+    key n1.key
+    probe-every 2
+    probe-timeout 1d
+    messages 1e2
+    leave-out 60%
+include a.conf
+include gone.conf
+log
+`, "open.key": "", "b.conf": "gossip\n  listen 127.0.0.1:1\n  fleet f\n  key open.key\n  authority f.crt\n" +
+		"  probe-every 200ms\n  advertise 0.0.0.0:1\n"})
+	check := func(file string, want ...string) {
+		t.Helper()
+		_, err := Read(filepath.Join(dir, file))
+		var faults Faults
+		if !errors.As(err, &faults) {
+			t.Fatalf("%s: error %v", file, err)
+		}
+		if d := cmp.Diff(want, strings.Split(strings.ReplaceAll(faults.Error(), dir+"/", ""), "\n")); d != "" {
+			t.Error(d)
+		}
+	}
+	check("a.conf",
+		`a.conf:1:5: format: stands in no section`,
+		`a.conf:3:5: formt: section log has no such directive: is "format" meant?`,
+		`a.conf:4:11: level: "loud" is none of debug, info, warning, error`,
+		`a.conf:5:24: level: "extra" is too much: it takes level LEVEL [PART]`,
+		`a.conf:6:12: a quoted word does not end`,
+		`a.conf:8:5: format: stands twice, first in a.conf:7`,
+		`a.conf:9:1: no section has the name "logs": is "log" meant?; directives are indented`,
+		`a.conf:12:12: listen: "127.0.0.1" is no address: an IP address and a port, as in 127.0.0.1:7946`,
+		`a.conf:13:11: fleet: "a/b" is no word: letters, digits, '-', '_' and '.', 64 at most`,
+		`a.conf:15:17: probe-every: "2" is no duration: a time from 100ms to 1m0s, as in 300ms`,
+		`a.conf:16:19: probe-timeout: 1d is out of range: a time from 10ms to 10s, as in 300ms`,
+		`a.conf:17:14: messages: "1e2" is no count: a whole number from 5 to 1000`,
+		`a.conf:18:15: leave-out: 60% is out of range: a share from 0% to 50%`,
+		`a.conf:19:1: include: a.conf includes itself`,
+		`a.conf:20:1: include: stat gone.conf: no such file or directory`,
+		`a.conf:21:1: section log began in a.conf:2 already`,
+		`a.conf:11:1: authority: section gossip needs it: authority FILE`)
+	if err := os.Chmod(filepath.Join(dir, "open.key"), 0o640); err != nil {
+		t.Fatal(err)
+	}
+	check("b.conf",
+		`b.conf:1:1: probe-timeout: must be under probe-every`,
+		`b.conf:7:3: advertise: peers can't reach 0.0.0.0: name an address of this machine`,
+		`b.conf:4:3: key: mode 0640 lets others read it: 0600 is needed`,
+		`b.conf:5:3: authority: no such file or directory`)
+}
+
+// The example and the page that are in the repository are those that the table makes, and the example changes
+// nothing.
+func TestWrittenFromTheTable(t *testing.T) {
+	for file, want := range map[string]string{"../../deploy/calicohill.conf": Example(),
+		"../../docs/operators/settings.md": Page()} {
+		got, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(want, string(got)); d != "" {
+			t.Errorf("%s is not what the table makes; run make generate:\n%s", file, d)
+		}
+	}
+	got, err := Read("../../deploy/calicohill.conf")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(None(), got); d != "" {
+		t.Errorf("the example changes something: %s", d)
+	}
+	for _, d := range Directives {
+		for _, text := range []string{d.Default, d.Example} {
+			if text == "" {
+				continue
+			}
+			if _, err := d.Args[0].read(word{text: text}, ""); err != nil {
+				t.Errorf("%s: default or example: %v", d.Name, err)
+			}
+		}
+	}
+}
+
+// FuzzParse reads any bytes: faults have places, and what is accepted is accepted again.
+func FuzzParse(f *testing.F) {
+	f.Add(whole)
+	f.Add(peers)
+	f.Add("log\n level \"a\\\"b\" # c\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		file := filepath.Join(t.TempDir(), "f")
+		if err := os.WriteFile(file, []byte(strings.ReplaceAll(text, "include", "log")), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Parse(file)
+		var faults Faults
+		if err != nil && !errors.As(err, &faults) {
+			t.Fatalf("error %v", err)
+		}
+		for _, one := range faults {
+			if one.Line < 1 || one.Column < 1 || one.Reason == "" {
+				t.Errorf("fault without a place or a reason: %+v", one)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/operator/table.go
@@ -0,0 +1,143 @@
+package operator
+
+import "time"
+
+// Type is what an argument of a directive must be.
+type Type int
+
+// The types of arguments.
+const (
+	Word     Type = iota // letters, digits, '-', '_' and '.'; 64 bytes at most
+	Text                 // anything, quoted where it holds blanks or '#'
+	Choice               // one of the words that Arg.Words lists
+	Duration             // a number and a unit: us, ms, s, m, h or d
+	Size                 // a number and a unit: B, KiB, MiB or GiB
+	Count                // a whole number
+	Share                // a number followed by %
+	Address              // host:port, the host an IP address
+	Path                 // the name of a file, taken from the folder of the file that it stands in
+)
+
+var typeNames = [...]string{"word", "text", "choice", "duration", "size", "count", "share", "address", "path"}
+
+func (t Type) String() string { return typeNames[t] }
+
+// Arg declares one argument of a directive.
+type Arg struct {
+	Name        string
+	Type        Type
+	Words       []string // of a Choice
+	Least, Most float64  // of a Duration in seconds, a Size in bytes, a Count, or a Share in per cent
+	Optional    bool     // may be left out; only the last can be
+}
+
+// Directive declares one directive: where it stands, what it takes and what it is for. The parser, the checker,
+// the commented example and the operators' page all read this table and nothing else.
+type Directive struct {
+	Section  string // the section that it stands in
+	Name     string
+	Args     []Arg
+	Default  string // as it would be written; "" where there is none
+	Example  string // as the example shows it where there is no default
+	Required bool   // the section is of no use without it
+	Repeated bool   // may stand more than once in a section
+	Reload   bool   // a reload takes up a change; otherwise a restart does
+	Help     string
+}
+
+// Section declares a kind of section.
+type Section struct {
+	Name string
+	Help string
+}
+
+// Sections is every section that a file may hold, in the order of the example. Each may stand once.
+var Sections = []Section{
+	{"log", "What is written to standard error, and how."},
+	{"gossip", "Shared suspicions: talk to other schedulers of the fleet about workers that seem ill. Without this\n" +
+		"section nothing is sent, no socket is opened and no key is read."},
+}
+
+var levels = []string{"debug", "info", "warning", "error"}
+
+// Parts are the parts of the program that log lines name, and whose level can be set by itself.
+var Parts = []string{"scheduler", "agent", "bulletin", "clients", "gossip"}
+
+// Directives is every directive, in the order of the example.
+var Directives = []Directive{
+	{Section: "log", Name: "format", Args: []Arg{{Name: "FORMAT", Type: Choice, Words: []string{"text", "json"}}},
+		Default: "text", Reload: true, Help: "Lines of name=value pairs, or of one JSON object each."},
+	{Section: "log", Name: "level",
+		Args: []Arg{{Name: "LEVEL", Type: Choice, Words: levels},
+			{Name: "PART", Type: Choice, Words: Parts, Optional: true}},
+		Default: "info", Repeated: true, Reload: true,
+		Help: "The least level that is written: of all parts, or of the one that is named."},
+
+	{Section: "gossip", Name: "listen", Args: []Arg{{Name: "ADDRESS", Type: Address}},
+		Example: "127.0.0.1:7946", Required: true, Help: "The UDP address that messages of peers come to."},
+	{Section: "gossip", Name: "fleet", Args: []Arg{{Name: "NAME", Type: Word}},
+		Example: "gt-registros", Required: true,
+		Help: "The fleet that keys and messages belong to. Those of another fleet are refused."},
+	{Section: "gossip", Name: "key", Args: []Arg{{Name: "FILE", Type: Path}},
+		Example: "n1.key", Required: true, Reload: true,
+		Help: "The key and certificate of this scheduler (calicohill key issue), readable by its owner alone."},
+	{Section: "gossip", Name: "authority", Args: []Arg{{Name: "FILE", Type: Path}},
+		Example: "fleet.pub", Required: true, Repeated: true, Reload: true,
+		Help: "The public key of an authority whose certificates count (calicohill key authority). With two of them\n" +
+			"members of the old one stay while the new one takes over."},
+	{Section: "gossip", Name: "revoked", Args: []Arg{{Name: "FILE", Type: Path}},
+		Example: "fleet.revoked", Reload: true,
+		Help: "The list of revoked certificates (calicohill key revoke)."},
+	{Section: "gossip", Name: "seed", Args: []Arg{{Name: "ADDRESS", Type: Address}},
+		Example: "127.0.0.1:7947", Repeated: true, Reload: true,
+		Help: "Where another member may be found. It is asked at the start, and again while nobody is known."},
+	{Section: "gossip", Name: "advertise", Args: []Arg{{Name: "ADDRESS", Type: Address}},
+		Example: "127.0.0.1:7946", Help: "The address that peers reach this one at, where it is not the one of listen."},
+	{Section: "gossip", Name: "probe-every", Args: []Arg{{Name: "TIME", Type: Duration, Least: 0.1, Most: 60}},
+		Default: "1s", Help: "How often one other member is asked whether it is there."},
+	{Section: "gossip", Name: "probe-timeout", Args: []Arg{{Name: "TIME", Type: Duration, Least: 0.01, Most: 10}},
+		Default: "300ms", Help: "How long its answer may take until others are asked to ask it. Under probe-every."},
+	{Section: "gossip", Name: "suspect-for", Args: []Arg{{Name: "TIME", Type: Duration, Least: 0.5, Most: 300}},
+		Default: "5s", Help: "How long a member that did not answer may say that it is there until it counts as dead."},
+	{Section: "gossip", Name: "messages", Args: []Arg{{Name: "NUMBER", Type: Count, Least: 5, Most: 1000}},
+		Default: "20", Help: "The most messages sent in a second, whatever is received."},
+	{Section: "gossip", Name: "checks", Args: []Arg{{Name: "NUMBER", Type: Count, Least: 20, Most: 10000}},
+		Default: "400", Help: "The most signatures checked in a second, whatever is received."},
+	{Section: "gossip", Name: "clock-skew", Args: []Arg{{Name: "TIME", Type: Duration, Least: 0, Most: 60}},
+		Default: "5s", Help: "How far the clocks of members may be apart."},
+	{Section: "gossip", Name: "overlap", Args: []Arg{{Name: "TIME", Type: Duration, Least: 0, Most: 86400}},
+		Default: "10m", Reload: true,
+		Help: "How long after a reload the certificates of an authority that is no longer named still count."},
+	{Section: "gossip", Name: "liars", Args: []Arg{{Name: "NUMBER", Type: Count, Least: 0, Most: 1000}},
+		Example: "1", Reload: true,
+		Help: "How many members may lie. It takes more accusers than that to leave a worker out. Where it is not\n" +
+			"set it is the most that are less than a third of the members."},
+	{Section: "gossip", Name: "leave-out", Args: []Arg{{Name: "SHARE", Type: Share, Least: 0, Most: 50}},
+		Default: "25%", Reload: true,
+		Help: "The most of the listed workers that are left out on the word of peers. 0% listens and does nothing."},
+	{Section: "gossip", Name: "forget-after", Args: []Arg{{Name: "TIME", Type: Duration, Least: 1, Most: 300}},
+		Default: "10s", Reload: true, Help: "How long an accusation counts that is not said again."},
+}
+
+// Lookup finds a directive of a section.
+func Lookup(section, name string) (Directive, bool) {
+	for _, d := range Directives {
+		if d.Section == section && d.Name == name {
+			return d, true
+		}
+	}
+	return Directive{}, false
+}
+
+// units of a Duration and of a Size, the larger first.
+var (
+	durationUnits = []unit{{"d", 86400}, {"h", 3600}, {"m", 60}, {"ms", 1e-3}, {"us", 1e-6}, {"s", 1}}
+	sizeUnits     = []unit{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+)
+
+type unit struct {
+	name string
+	in   float64 // seconds or bytes
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
