Decide membership and the worth of peers' word in pure packages; keys for a fleet

Need: installations whose schedulers may talk gain from sharing which workers seem ill, and no harm may come from a peer that is wrong, lying or gone.

--- a/api.go
+++ b/api.go
@@ -51,9 +51,13 @@
 	Fees          Fees
 	WeightsTold   bool // Worker.Weight means something
 	ClientsRepeat bool // clients mark their repeats
+	Peers         bool // Observe is heeded: other schedulers are told, and what they hold comes as PeersHold
 }
 
-// check returns the least aim of all classes, or what makes no sense.
+// keepAlive holds where none is told.
+const keepAlive = 10 * time.Second
+
+// check fills in what was not told and returns the least aim of all classes, or what makes no sense.
 func (s *Settings) check() (least time.Duration, err error) {
 	if len(s.Classes) == 0 || s.Schedulers < 1 || s.MaxAttempts < 1 {
 		return 0, errors.New("calicohill: at least 1 class, 1 scheduler and 1 attempt are needed")
@@ -68,6 +72,12 @@
 	if s.ColdShare < 0 || s.LoadsPerCall < 0 || s.LoadsFree < 0 || s.TipMultiple < 0 {
 		return 0, errors.New("calicohill: settings below 0")
 	}
+	if s.KeepAlive <= 0 {
+		s.KeepAlive = keepAlive
+	}
+	if !s.HonoursRetry {
+		s.MaxRetryAfter = 0
+	}
 	return least, nil
 }
 
@@ -120,7 +130,7 @@
 }
 
 // Event is something that a Router is told. The concrete types are WorkerList, Request, StreamStart,
-// AttemptEnd, Abandoned, TimerFired, ProbeEnd, LoadEnd and PeerMessage.
+// AttemptEnd, Abandoned, TimerFired, ProbeEnd, LoadEnd, PeerMessage and PeersHold.
 type Event interface{ event() }
 
 // ListKind tells how to read a WorkerList.
@@ -260,6 +270,40 @@
 	Data []byte
 }
 
+// Trouble is what a scheduler may find wrong with a worker.
+type Trouble uint8
+
+// The troubles.
+const (
+	Well        Trouble = iota
+	Silent              // takes requests and answers none
+	Stalled             // answers much later than others
+	Failing             // answers errors
+	Unreachable         // takes no connections, or breaks them
+)
+
+func (t Trouble) String() string {
+	return [...]string{"well", "silent", "stalled", "failing", "unreachable"}[t]
+}
+
+// Word is what other schedulers together hold of a worker.
+type Word uint8
+
+// The words, each stronger than the one before.
+const (
+	NoWord   Word = iota
+	Noted         // some find it ill
+	Believed      // more of them than may lie find it silent or unreachable
+)
+
+func (w Word) String() string { return [...]string{"none", "noted", "believed"}[w] }
+
+// PeersHold is what other schedulers hold of workers, in place of all before. Who is not named has no word.
+type PeersHold struct {
+	Words   map[string]Word
+	Vouched []string // workers that a scheduler which found them ill has just had an answer from
+}
+
 func (WorkerList) event()  {}
 func (Request) event()     {}
 func (StreamStart) event() {}
@@ -269,9 +313,10 @@
 func (ProbeEnd) event()    {}
 func (LoadEnd) event()     {}
 func (PeerMessage) event() {}
+func (PeersHold) event()   {}
 
 // Action is something that a Router asks for, to be done in the order given. The concrete types are Send,
-// Cancel, Refuse, Fail, SetTimer, Probe, Load, Unload, Subscribe and FetchList.
+// Cancel, Refuse, Fail, SetTimer, Probe, Load, Unload, Subscribe, FetchList and, where Settings.Peers, Observe.
 type Action interface{ action() }
 
 // Send starts an attempt. The attempts of a request are numbered from 0 in the order of their Sends.
@@ -320,6 +365,14 @@
 // FetchList asks discovery for the whole list, once.
 type FetchList struct{}
 
+// Observe says what this scheduler itself finds of a worker, first when that changes and again with newer proof.
+type Observe struct {
+	Worker  string
+	Trouble Trouble       // Well: an answer
+	At      time.Duration // when the request was sent that shows it, or the answer came
+}
+
+func (Observe) action()   {}
 func (Send) action()      {}
 func (Cancel) action()    {}
 func (Refuse) action()    {}
--- a/choice.go
+++ b/choice.go
@@ -101,10 +101,15 @@
 	return r.usable(w) && r.maySend(q, w) && !q.failedAt(w) && !r.shuns(q, w)
 }
 
-// shuns reports whether a worker is not to have this request: it answers errors, and nothing could be tried
-// after one. Others go there still, show when it is well again, and are tried elsewhere.
+// shuns reports whether a worker is not to have this request: it seems ill, and nothing could be tried after.
+// Others go there still, show when it is well again, and are tried elsewhere.
 func (r *Router) shuns(q *request, w *worker) bool {
-	return q.class.Effect == Unsafe && r.well > 0 && r.errsOf(w) > errsMost
+	return q.class.Effect == Unsafe && r.well > 0 && r.ill(w)
+}
+
+// ill reports whether a worker answers errors, or seems ill to others and has not answered here lately.
+func (r *Router) ill(w *worker) bool {
+	return r.errsOf(w) > errsMost || w.word > NoWord && r.now-w.lastAnswer > wordOwn
 }
 
 // hashOrder is the order of the workers for a function, the same at every scheduler (rendezvous hashing). A
--- a/health.go
+++ b/health.go
@@ -1,12 +1,12 @@
 package calicohill
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
 
 	"calicohill/internal/decay"
+	"calicohill/internal/sorted"
 )
 
 // usable reports whether a worker may get work: a suspect one only a single trial at a time.
@@ -19,7 +19,7 @@
 	r.busy, r.lanes, r.well = 0, 0, 0
 	for _, w := range r.list {
 		if r.usable(w) {
-			if r.errsOf(w) <= errsMost {
+			if !r.ill(w) {
 				r.well++
 			}
 			r.busy += float64(len(w.outs) - w.loads)
@@ -36,6 +36,31 @@
 	}
 }
 
+// observe says what this scheduler itself finds of a worker, where there are others to tell.
+func (r *Router) observe(w *worker, t Trouble, at time.Duration) {
+	if r.set.Peers && (t != w.seen || at-w.seenAt > wordOwn/4 && (t != Well || w.word > NoWord)) {
+		w.seen, w.seenAt = t, at
+		r.act(Observe{w.ID, t, at})
+	}
+}
+
+// heed takes in what other schedulers hold of the workers. On the word of enough one is left out as if found
+// silent here, unless it answered here lately or the rest could not carry what is out. One alone has only
+// calls that must not be repeated go elsewhere (shuns), or brings the next trial.
+func (r *Router) heed(e PeersHold) {
+	for _, w := range r.list {
+		w.word = e.Words[w.ID]
+		rest := r.lanes - w.limit
+		if w.word == Believed && r.now-w.lastAnswer > wordOwn && r.busy*r.lanes < spillMost*rest {
+			r.doubt(w)
+			r.survey()
+		}
+		if slices.Contains(e.Vouched, w.ID) {
+			w.tryAt = r.now
+		}
+	}
+}
+
 // look is the regular look at what waits and what is overdue.
 func (r *Router) look() {
 	if r.askAgain > 0 && r.now >= r.askAgain {
@@ -61,14 +86,16 @@
 // older went out; one alone may be a heavy request. Covers cut links, hangs and lost machines. Harm: a very
 // slow worker loses its traffic until a trial is answered. What is out there is tried elsewhere.
 func (r *Router) watch(w *worker) {
-	overdue := 0
+	overdue, newest := 0, time.Duration(0)
 	for _, a := range w.outs {
 		if r.now >= a.late && w.lastAnswer < a.sent {
 			overdue++
+			newest = a.sent
 		}
 	}
-	if overdue >= 2 {
+	if overdue >= 2 || overdue > 0 && w.suspect {
 		r.doubt(w)
+		r.observe(w, Silent, newest)
 	}
 	ill := w.State == Gone || w.suspect
 	for _, a := range w.outs {
@@ -126,9 +153,7 @@
 		if w == nil {
 			w = &worker{Worker: in, limit: r.limitStart(), lastAnswer: r.now}
 			r.workers[in.ID] = w
-			i, _ := slices.BinarySearchFunc(r.list, in.ID,
-				func(w *worker, id string) int { return cmp.Compare(w.ID, id) })
-			r.list = slices.Insert(r.list, i, w)
+			r.list = sorted.Insert(r.list, w, func(w *worker) string { return w.ID })
 			continue
 		}
 		if in.Started != w.Started && in.Started > 0 {
--- /dev/null
+++ b/internal/gossip/guard.go
@@ -0,0 +1,393 @@
+package gossip
+
+import (
+	"crypto/ed25519"
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"calicohill/internal/bucket"
+	"calicohill/internal/fleetkey"
+)
+
+// Why a datagram is dropped. Errors of Open are one of these, or one of package fleetkey, wrapped.
+var (
+	ErrBudget    = errors.New("gossip: the budget of signature checks is spent")
+	ErrReplayed  = errors.New("gossip: replayed")
+	ErrSignature = errors.New("gossip: the signature is not right")
+	ErrUnknown   = errors.New("gossip: the sender is not known and brings no certificate")
+	ErrClock     = errors.New("gossip: sent too long ago, or not yet")
+	ErrNotForUs  = errors.New("gossip: for another member")
+	ErrOwnName   = errors.New("gossip: from another member of this one's name")
+)
+
+// What a Guard lets its budget of checks be spent on. Those who have shown a cookie have a part each, so that
+// neither forged addresses nor another member can take it from them.
+const (
+	peerChecks    = 0.2  // of the checks a second for each sender with a cookie
+	knownChecks   = 0.25 // for all datagrams without one from addresses of members and seeds
+	unknownChecks = 0.1  // for all others
+	maxPeers      = 4096
+	late          = 2 * time.Second // that a datagram may be on its way, on top of the skew
+)
+
+// Guard decides which datagrams are read, and seals those that are sent. It holds what is known of each member's
+// key, start and latest numbers. It reads no clock and is not safe for concurrent use.
+type Guard struct {
+	fleet  string
+	own    *fleetkey.Member
+	epoch  int64
+	trust  *fleetkey.Trust
+	secret []byte // of cookies; new with each start, so that what was recorded before shows none
+	checks float64
+	skew   time.Duration
+	seq    uint64
+
+	peers                map[string]*peer
+	known                map[netip.AddrPort]bool // seeds and addresses of members
+	all, familiar, alien bucket.Bucket
+	Spent                uint64 // signatures checked so far
+}
+
+// peer is what a Guard knows of a member.
+type peer struct {
+	cert    *x509.Certificate
+	epoch   int64
+	highest uint64 // sequence number
+	window  uint64 // bit i: the number highest-i was seen
+	cookie  Cookie // to be shown to it
+	shown   Cookie // that it is to show
+	budget  bucket.Bucket
+	heard   time.Duration
+	met     bool // it has shown this member's cookie in its present life
+
+	said     Statement // its latest
+	recEpoch int64     // of its latest record
+	recInc   uint32
+	recGone  bool
+}
+
+// GuardConfig is what a Guard works with.
+type GuardConfig struct {
+	Fleet  string
+	Own    *fleetkey.Member
+	Epoch  int64 // start of this member, Unix milliseconds
+	Trust  *fleetkey.Trust
+	Secret []byte // random, new with each start
+	Checks int    // signatures a second
+	Skew   time.Duration
+	Seeds  []netip.AddrPort
+}
+
+// NewGuard returns a Guard.
+func NewGuard(c GuardConfig) *Guard {
+	g := &Guard{fleet: c.Fleet, own: c.Own, epoch: c.Epoch, trust: c.Trust, secret: c.Secret, checks: float64(c.Checks),
+		skew: c.Skew, peers: map[string]*peer{}, known: map[netip.AddrPort]bool{}}
+	for _, s := range c.Seeds {
+		g.known[s] = true
+	}
+	return g
+}
+
+// Know takes in which addresses members and seeds have.
+func (g *Guard) Know(addrs []netip.AddrPort) {
+	clear(g.known)
+	for _, a := range addrs {
+		g.known[a] = true
+	}
+}
+
+// Trust takes up new keys. Members whose certificates no longer count are forgotten, and their names returned.
+func (g *Guard) Trust(own *fleetkey.Member, t *fleetkey.Trust, wall time.Time) (gone []string) {
+	g.own, g.trust = own, t
+	for name, p := range g.peers {
+		if p.cert != nil && t.Current(p.cert, wall) != nil {
+			delete(g.peers, name)
+			gone = append(gone, name)
+		}
+	}
+	return gone
+}
+
+// Forget drops what is known of a member that is gone for good.
+func (g *Guard) Forget(name string) { delete(g.peers, name) }
+
+// Certified reports whether the key of a member is known.
+func (g *Guard) Certified(name string) bool {
+	p := g.peers[name]
+	return p != nil && p.cert != nil
+}
+
+// Cert is this member's own certificate.
+func (g *Guard) Cert() []byte { return g.own.Cert.Raw }
+
+// cookieFor is the cookie that a member is to show. It needs no table: it is made from the secret.
+func (g *Guard) cookieFor(name string) (c Cookie) {
+	m := hmac.New(sha256.New, g.secret)
+	m.Write([]byte(name))
+	copy(c[:], m.Sum(nil))
+	return c
+}
+
+// SignRecord signs this member's own record.
+func (g *Guard) SignRecord(r *Record) { r.Sig = ed25519.Sign(g.own.Key, r.signed(g.fleet)) }
+
+// State makes a statement of this member's.
+func (g *Guard) State(seq uint64, wall time.Time, body []byte) Statement {
+	s := Statement{Name: g.own.Name(), Epoch: g.epoch, Seq: seq, At: wall.UnixMilli(), Body: body, Cert: g.own.Cert.Raw}
+	s.Sig = ed25519.Sign(g.own.Key, s.signed(g.fleet))
+	return s
+}
+
+// Seal makes the datagram of a message to a member, or, with the name "", to whoever is at an address. Whoever may
+// not know this member is sent its certificate too.
+func (g *Guard) Seal(to string, inc uint32, wall time.Time, m *Message) ([]byte, error) {
+	g.seq++
+	h := header{from: g.own.Name(), to: to, epoch: g.epoch, inc: inc, seq: g.seq}
+	m.At, m.Cert = wall.UnixMilli(), nil
+	if to != "" {
+		m.Cookie = g.cookieFor(to)
+	}
+	if p := g.peers[to]; p != nil {
+		h.cookie = p.cookie
+	}
+	// Whoever has shown a cookie has read a message with the certificate; it may have started anew since.
+	if p := g.peers[to]; p == nil || !p.met || len(m.Summaries) > 0 {
+		m.Cert = g.own.Cert.Raw
+	}
+	body, err := encode(m)
+	if err == nil && len(m.Statements) > 0 && len(body) > MaxDatagram-signatureLen-len(h.append(nil)) {
+		// A certificate that was not reckoned with takes the room: statements are told again by others.
+		m.Statements = nil
+		body, err = encode(m)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("gossip: sealing a message: %w", err)
+	}
+	sig := ed25519.Sign(g.own.Key, h.signed(g.fleet, body))
+	b := append(append(h.append(make([]byte, 0, MaxDatagram)), sig...), body...)
+	if len(b) > MaxDatagram {
+		return nil, fmt.Errorf("gossip: a message of %d bytes", len(b))
+	}
+	return b, nil
+}
+
+// Opened is a datagram that was read.
+type Opened struct {
+	From string
+	*Message
+	Trusted bool // its sender has heard from this member since both started: no replay
+	// Twice is a statement that contradicts another of the same number, signed by the same member.
+	Twice []string
+}
+
+// Open reads a datagram, or says why it is dropped. What costs little is looked at first, and no signature is
+// checked unless the budget of whoever seems to have sent it allows.
+func (g *Guard) Open(now time.Duration, wall time.Time, from netip.AddrPort, datagram []byte) (*Opened, error) {
+	h, sig, body, err := parseHeader(datagram)
+	if err != nil {
+		return nil, err
+	}
+	if h.to != "" && h.to != g.own.Name() {
+		return nil, ErrNotForUs
+	}
+	p := g.peers[h.from]
+	if p != nil && (h.epoch < p.epoch || h.epoch == p.epoch && !p.fresh(h.seq)) {
+		return nil, ErrReplayed
+	}
+	want := g.cookieFor(h.from)
+	trusted := p != nil && subtle.ConstantTimeCompare(want[:], h.cookie[:]) == 1
+	pay := func() bool { return g.pay(now, p, trusted, from) }
+	if !pay() {
+		return nil, ErrBudget
+	}
+	m, err := decode(body)
+	if err != nil {
+		return nil, err
+	}
+	cert := (*x509.Certificate)(nil)
+	if p != nil {
+		cert = p.cert
+	}
+	if len(m.Cert) > 0 && (cert == nil || string(cert.Raw) != string(m.Cert)) {
+		if !pay() {
+			return nil, ErrBudget
+		}
+		if cert, err = g.verifyCert(m.Cert, h.from, wall); err != nil {
+			return nil, err
+		}
+	}
+	if cert == nil {
+		return nil, ErrUnknown
+	}
+	if err := g.trust.Current(cert, wall); err != nil {
+		return nil, err
+	}
+	if !g.check(cert, h.signed(g.fleet, body), sig) {
+		return nil, ErrSignature
+	}
+	if d := wall.Sub(time.UnixMilli(m.At)).Abs(); d > g.skew+late {
+		return nil, ErrClock
+	}
+	if h.from == g.own.Name() && h.epoch == g.epoch {
+		return nil, ErrReplayed // its own, sent back
+	}
+	if p == nil {
+		if p = g.admit(h.from, now); p == nil {
+			return nil, ErrBudget
+		}
+	}
+	if h.epoch > p.epoch {
+		p.epoch, p.highest, p.window = h.epoch, 0, 0
+		p.cookie, p.met = Cookie{}, false
+	}
+	p.met = p.met || trusted
+	p.cert, p.heard = cert, now
+	p.see(h.seq)
+	if m.Cookie != (Cookie{}) {
+		p.cookie = m.Cookie
+	}
+	o := &Opened{From: h.from, Message: m, Trusted: trusted}
+	g.records(o, pay)
+	g.statements(o, wall, pay)
+	return o, nil
+}
+
+// verifyCert reads a certificate that a datagram brings, and holds it to the name that it comes under.
+func (g *Guard) verifyCert(der []byte, name string, wall time.Time) (*x509.Certificate, error) {
+	g.Spent++
+	c, err := g.trust.Verify(der, wall)
+	if err != nil {
+		return nil, err
+	}
+	if c.Subject.CommonName != name {
+		return nil, fmt.Errorf("%w: of %s, not of %s", fleetkey.ErrNotAMember, c.Subject.CommonName, name)
+	}
+	return c, nil
+}
+
+func (g *Guard) check(c *x509.Certificate, text, sig []byte) bool {
+	g.Spent++
+	key, ok := c.PublicKey.(ed25519.PublicKey)
+	return ok && ed25519.Verify(key, text, sig)
+}
+
+// pay takes one check from the budget of whoever seems to have sent a datagram.
+func (g *Guard) pay(now time.Duration, p *peer, trusted bool, from netip.AddrPort) bool {
+	own, part := &g.alien, unknownChecks
+	switch {
+	case trusted:
+		own, part = &p.budget, peerChecks
+	case g.known[from]:
+		own, part = &g.familiar, knownChecks
+	}
+	// A second of budget may be spent at once.
+	rate := max(part*g.checks, 1)
+	return own.Take(now, 1, rate, rate) && g.all.Take(now, 1, g.checks, g.checks)
+}
+
+// admit makes room for a member that was not known. With the table full the one that was silent longest goes.
+func (g *Guard) admit(name string, now time.Duration) *peer {
+	if len(g.peers) >= maxPeers {
+		oldest := ""
+		for n, p := range g.peers {
+			if oldest == "" || p.heard < g.peers[oldest].heard {
+				oldest = n
+			}
+		}
+		delete(g.peers, oldest)
+	}
+	p := &peer{heard: now}
+	g.peers[name] = p
+	return p
+}
+
+// fresh reports whether a number was not seen and is not too old to tell.
+func (p *peer) fresh(seq uint64) bool {
+	return seq > p.highest || p.highest-seq < 64 && p.window>>(p.highest-seq)&1 == 0
+}
+
+func (p *peer) see(seq uint64) {
+	if seq > p.highest {
+		if n := seq - p.highest; n < 64 {
+			p.window <<= n
+		} else {
+			p.window = 0
+		}
+		p.highest = seq
+	}
+	p.window |= 1 << (p.highest - seq)
+}
+
+// records keeps the records of a message that are signed by whom they are of and newer than what is known. Those
+// of members whose key is not known stay without a signature: they only say where somebody may be found.
+func (g *Guard) records(o *Opened, pay func() bool) {
+	kept := o.Records[:0]
+	for _, r := range o.Records {
+		p := g.peers[r.Name]
+		if p == nil || p.cert == nil {
+			r.Sig = nil
+			kept = append(kept, r)
+			continue
+		}
+		newer := r.Epoch > p.recEpoch || r.Epoch == p.recEpoch && (r.Inc > p.recInc || r.Inc == p.recInc && r.Gone && !p.recGone)
+		if !newer || !pay() || !g.check(p.cert, r.signed(g.fleet), r.Sig) {
+			continue
+		}
+		p.recEpoch, p.recInc, p.recGone = r.Epoch, r.Inc, r.Gone
+		kept = append(kept, r)
+	}
+	o.Records = kept
+}
+
+// statements keeps the statements of a message that are new and signed by whom they are of.
+func (g *Guard) statements(o *Opened, wall time.Time, pay func() bool) {
+	kept := o.Statements[:0]
+	for _, s := range o.Statements {
+		if s.Name == g.own.Name() || wall.Sub(time.UnixMilli(s.At)).Abs() > g.skew+10*late {
+			continue
+		}
+		p := g.peers[s.Name]
+		var cert *x509.Certificate
+		if p != nil {
+			cert = p.cert
+			old := s.Epoch < p.said.Epoch || s.Epoch == p.said.Epoch && s.Seq < p.said.Seq
+			same := s.Epoch == p.said.Epoch && s.Seq == p.said.Seq
+			if old || same && string(s.Sig) == string(p.said.Sig) {
+				continue
+			}
+		}
+		if cert == nil {
+			if !pay() {
+				continue
+			}
+			c, err := g.verifyCert(s.Cert, s.Name, wall)
+			if err != nil {
+				continue
+			}
+			cert = c
+		}
+		if g.trust.Current(cert, wall) != nil || !pay() || !g.check(cert, s.signed(g.fleet), s.Sig) {
+			continue
+		}
+		if p == nil {
+			if p = g.admit(s.Name, 0); p == nil {
+				continue
+			}
+			p.cert = cert
+		}
+		if s.Epoch == p.said.Epoch && s.Seq == p.said.Seq {
+			// Ed25519 signs the same text in the same way: these are two texts under one number.
+			o.Twice = append(o.Twice, s.Name)
+			continue
+		}
+		p.said = s
+		kept = append(kept, s)
+	}
+	o.Statements = kept
+}
--- a/learn.go
+++ b/learn.go
@@ -56,19 +56,20 @@
 			r.missed(a, 1)
 		}
 	case Reset:
-		// A connection that broke says little of its worker: one answer that cannot be read ends it too. If
-		// the process died, the next connection is refused, and nothing has run there. A worker that breaks
-		// time and again with no answer between is ill all the same.
+		// A connection that broke says little of its worker: an answer that cannot be read ends it too, and
+		// after a death the next is refused. One that breaks time and again with no answer between is ill.
 		if w.brokeAt < r.now { // what was lost with one connection counts once
 			w.breaks++
 		}
 		if w.brokeAt = r.now; w.breaks >= breaksMost {
 			r.doubt(w)
+			r.observe(w, Unreachable, r.now)
 		}
 	case Unreached:
 		// The process died or cannot be reached: what it held is gone with it.
 		w.life++
 		r.doubt(w)
+		r.observe(w, Unreachable, r.now)
 	}
 	switch {
 	case e.Closed || q.done:
@@ -84,6 +85,14 @@
 	if w.lastAnswer, w.breaks = r.now, 0; w.suspect {
 		w.suspect, w.tries, w.limit = false, 0, max(limitMin, min(w.limit, 2))
 	}
+	switch {
+	case r.errsOf(w) > errsMost:
+		r.observe(w, Failing, r.now)
+	case r.paceOf(w) > stalledPace:
+		r.observe(w, Stalled, r.now)
+	default:
+		r.observe(w, Well, r.now)
+	}
 }
 
 // learn takes in a served answer.
--- a/queue.go
+++ b/queue.go
@@ -1,10 +1,11 @@
 package calicohill
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
+
+	"calicohill/internal/sorted"
 )
 
 // admit refuses a request whose estimated finish passes its deadline, never with nothing ahead.
@@ -52,17 +53,13 @@
 
 // hold puts a request among those that wait, least deadline first.
 func (r *Router) hold(q *request) {
-	i, _ := slices.BinarySearchFunc(r.held, q, func(a, b *request) int {
-		return cmp.Or(cmp.Compare(a.due, b.due), -1) // behind those with the same deadline
-	})
-	r.held = slices.Insert(r.held, i, q)
+	r.held = sorted.Insert(r.held, q, func(q *request) time.Duration { return q.due })
 }
 
 // release sends what can be sent, least deadline first. A request that must wait blocks no other.
 func (r *Router) release() {
 	r.survey()
-	kept := r.held[:0]
-	for _, q := range r.held {
+	r.held = slices.DeleteFunc(r.held, func(q *request) bool {
 		// What found no room in half its time is refused while its client can still do better by coming back:
 		// later a refusal is dear where nothing was ever sent, and past the half it is tried to the end.
 		stuck := !q.reached && r.now >= q.half && r.now < q.half+2*beat
@@ -70,7 +67,7 @@
 			r.finish(q)
 		}
 		if q.done {
-			continue
+			return true
 		}
 		w, warm := r.pick(q)
 		if w != nil && !warm && !r.set.LoadOnDemand && r.set.CanLoad {
@@ -78,12 +75,8 @@
 			r.order(w, q.fn)
 			w = nil
 		}
-		if w == nil || !r.send(q, w, warm) {
-			kept = append(kept, q)
-		}
-	}
-	clear(r.held[len(kept):])
-	r.held = kept
+		return w != nil && r.send(q, w, warm)
+	})
 }
 
 // ahead is the summed service times of what is out and of what is held and due no later, in seconds.
@@ -116,9 +109,6 @@
 // comeBack is the advice that goes with a refusal: when what is ahead now will be done with, at the most what
 // clients follow. With no usable worker that is not known, and it is the most.
 func (r *Router) comeBack() time.Duration {
-	if !r.set.HonoursRetry {
-		return 0
-	}
 	if r.lanes == 0 {
 		return r.set.MaxRetryAfter
 	}
--- a/router.go
+++ b/router.go
@@ -1,12 +1,11 @@
 // Package calicohill decides, for a scheduler in front of workers that keep only some of many functions
 // loaded, where each request goes, which requests are refused, and when an attempt is given up for another.
-// Every decision and constant is in the files that deploy/balancer.toml names as policy: router.go has the
-// state, queue.go order and refusal, choice.go the choice of a worker, rules.go the guards of the rules,
-// learn.go what answers teach, health.go whom to trust. Departures from the design are marked "A departure".
+// Every decision is in the files that deploy/balancer.toml names as policy: state in router.go, order and
+// refusal in queue.go, choice of a worker in choice.go, guards of the rules in rules.go, what answers teach
+// in learn.go, whom to trust in health.go. Departures from the design are marked "A departure".
 package calicohill
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -15,12 +14,10 @@
 )
 
 const (
-	beat      = 10 * time.Millisecond // how often held and overdue requests are looked at
-	beatToken = 1
+	beat, beatToken = 10 * time.Millisecond, 1 // how often held and overdue requests are looked at
 
 	walkDepth = 4 // workers of the hash order that a request may try before it waits
-	// Weights of a new latency in a function's mean, in what is known of a worker, which each scheduler sees
-	// seldom, and in the mean of all.
+	// Weights of a new latency in the means of a function, of a worker, which is seen seldom, and of all.
 	meanWeight, workerWeight, fleetWeight = 0.2, 0.5, 0.05
 
 	callsThere         = 12.0      // calls of all schedulers at a worker that a limit starts from
@@ -38,6 +35,9 @@
 
 	trialAfter = time.Second // first pause before a suspect worker is tried again; doubles, to 8 s
 
+	wordOwn     = time.Second // a worker that answered here so lately is not left out on the word of others
+	stalledPace = 4.0         // answers that take this many times what they take elsewhere count as stalled
+
 	breaksMost = 3 // connections that break in a row, with no answer between, make a worker suspect
 
 	// A worker of whose late answers more than errsMost are errors gets no calls that must not be repeated.
@@ -58,8 +58,7 @@
 	refuseFrom = 0.5 // mean answers of this share of the aim begin to be refused; of twice that
 	refuseMost = 0.8 // no more than this share is, or nothing would show that the worker is well again
 
-	keepAlive  = 10 * time.Second // where none is told
-	coldMargin = 0.9              // share of a cold worker's budget that is used
+	coldMargin = 0.9 // share of a cold worker's budget that is used
 )
 
 // A Router decides for one scheduler. It is not safe for concurrent use.
@@ -98,10 +97,12 @@
 	life              int     // counts restarts; beliefs of an earlier life are void
 	others            float64 // requests of other schedulers
 	suspect           bool
+	word              Word        // what other schedulers hold of it
+	seen              Trouble     // what they were told of it last, as seen at seenAt
 	tries, sheds      int         // trials since it became suspect; refusals in a row
 	errs, pace        decay.Value // running share of errors in its answers; excess of its latencies
 	breaks            int         // times that connections broke with no answer since
-	brokeAt           time.Duration
+	brokeAt, seenAt   time.Duration
 	lastAnswer, tryAt time.Duration
 	full, noLoads     time.Duration // it gets nothing new, or no new load, until then
 	quota             int           // calls that it may still be sent while cold, until quotaTill
@@ -133,25 +134,23 @@
 
 type request struct {
 	Request
-	class         *Class
-	fn            *function
-	end, due      time.Duration // when the client gives up; the deadline that orders the queue
-	half          time.Duration // half of the client's time, less what a look may be late
-	attempts      []*attempt
-	out           int
-	done, streams bool
-	reached       bool // some attempt came as far as a worker
+	class                  *Class
+	fn                     *function
+	end, due               time.Duration // when the client gives up; the deadline that orders the queue
+	half                   time.Duration // half of the client's time, less what a look may be late
+	attempts               []*attempt
+	out                    int
+	done, streams, reached bool // reached: some attempt came as far as a worker
 }
 
 type attempt struct {
-	q                    *request
-	n                    int
-	w                    *worker
-	p                    *pair
-	sent, late           time.Duration // late: when it is overdue
-	cost                 float64
-	cold, ended, rescued bool
-	proved               bool // it never ran
+	q                            *request
+	n                            int
+	w                            *worker
+	p                            *pair
+	sent, late                   time.Duration // late: when it is overdue
+	cost                         float64
+	cold, ended, rescued, proved bool // proved: it never ran
 }
 
 // New returns a Router for these settings. All its randomness comes from the seed.
@@ -160,7 +159,6 @@
 	if err != nil {
 		return nil, err
 	}
-	s.KeepAlive = cmp.Or(max(s.KeepAlive, 0), keepAlive)
 	return &Router{set: s, rng: rand.New(rand.NewPCG(seed, 0)), leastAim: least.Seconds(), version: 1,
 		tenants: make([]bucket.Bucket, len(s.Tenants)), requests: map[string]*request{},
 		workers: map[string]*worker{}, funcs: map[string]*function{}}, nil
@@ -197,6 +195,8 @@
 			}
 		case LoadEnd:
 			r.loaded(e)
+		case PeersHold:
+			r.heed(e)
 		case TimerFired:
 			due = due || e.Token == beatToken
 		}
--- a/router_test.go
+++ b/router_test.go
@@ -950,3 +950,108 @@
 		t.Error("past its share after 6 s at 0.2 a second")
 	}
 }
+
+func withPeers(s *Settings) { s.Peers = true }
+
+// lit is a fleet of which each worker holds the function and has just answered.
+func lit(t *testing.T, n int, change ...func(*Settings)) *bed {
+	t.Helper()
+	b := newBed(t, settings(append(change, withPeers)...), fleet(n)...)
+	for i := range 4 * n {
+		s := b.send(fmt.Sprintf("lit%d", i), fmt.Sprintf("f%d", i))
+		b.step(30*ms, end(s, 0, Served))
+	}
+	return b
+}
+
+func believed(ids ...string) PeersHold {
+	h := PeersHold{Words: map[string]Word{}}
+	for _, id := range ids {
+		h.Words[id] = Believed
+	}
+	return h
+}
+
+// On the word of enough others a worker gets nothing but trials, until it answers one; not while its own answers
+// are fresh, and not more of them than leaves the rest room.
+func TestLeavesOutOnTheWordOfOthers(t *testing.T) {
+	b := lit(t, 8)
+	b.step(0, believed("w3"))
+	if b.r.workers["w3"].suspect {
+		t.Error("left out though it has just answered")
+	}
+	b.wait(2 * time.Second)
+	if acts := only[Observe](b.step(0, believed("w3"))); len(acts) > 0 {
+		t.Errorf("what others say was passed on as seen here: %v", acts)
+	}
+	for i := range 40 {
+		s := b.send(fmt.Sprintf("a%d", i), fmt.Sprintf("g%d", i))
+		if s.Worker == "w3" && b.r.workers["w3"].tries == 0 {
+			t.Fatal("sent to a worker that is left out")
+		}
+		b.step(ms, end(s, 0, Served))
+	}
+	if !b.r.workers["w3"].suspect {
+		t.Error("not left out")
+	}
+	b.step(0, PeersHold{Vouched: []string{"w3"}})
+	if w := b.r.workers["w3"]; b.r.now < w.tryAt {
+		t.Error("not tried at once though another has had an answer")
+	}
+	b = lit(t, 8)
+	b.wait(2 * time.Second)
+	b.step(0, believed("w0", "w1", "w2", "w3", "w4", "w5", "w6", "w7"))
+	out := 0
+	for _, w := range b.r.list {
+		if w.suspect {
+			out++
+		}
+	}
+	if out == len(b.r.list) {
+		t.Error("all workers are left out on the word of others")
+	}
+}
+
+// One alone has only calls that must not be repeated go elsewhere, and not if all are accused.
+func TestOneAccuserAlone(t *testing.T) {
+	b := lit(t, 4, unsafe)
+	b.wait(2 * time.Second)
+	b.step(0, PeersHold{Words: map[string]Word{"w0": Noted}})
+	for i := range 20 {
+		s := b.send(fmt.Sprintf("a%d", i), fmt.Sprintf("g%d", i))
+		if s.Worker == "w0" {
+			t.Fatal("a call that must not be repeated went to a worker that one accuses")
+		}
+		b.step(ms, end(s, 0, Served))
+	}
+	if b.r.workers["w0"].suspect {
+		t.Error("left out on the word of one")
+	}
+	b.wait(2 * time.Second)
+	b.step(0, PeersHold{Words: map[string]Word{"w0": Noted, "w1": Noted, "w2": Noted, "w3": Noted}})
+	b.send("last", "f0")
+}
+
+// What is seen is said: silence with its newest proof, its end, errors; without peers nothing is.
+func TestObserves(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		b := newBed(t, settings(func(s *Settings) { s.Peers = on }), fleet(1)...)
+		s := b.send("a", "f")
+		seen := only[Observe](b.step(30*ms, end(s, 0, Served)))
+		var sent time.Duration
+		for i := range 2 {
+			b.send(fmt.Sprintf("b%d", i), "f")
+			sent = b.now
+		}
+		seen = append(seen, only[Observe](b.wait(time.Second))...)
+		back := b.now
+		seen = append(seen, only[Observe](b.step(0, end(Send{ID: "b0", Worker: "w0"}, 0, Served)))...)
+		want := []Observe{{"w0", Silent, sent}, {"w0", Well, back}}
+		if !on {
+			want = nil
+		}
+		if !reflect.DeepEqual(seen, want) {
+			t.Errorf("peers %v: observed %v, want %v", on, seen, want)
+		}
+	}
+}
