Let schedulers share suspicions over signed gossip; the laboratory measures it

Need: a scheduler that has not met a silent worker yet loses its own requests to it.

- internal/gossipnet: socket, keys and time of the pure cores, beside the request loop; keys, authorities and revocations are taken up on reload, whole or not at all.
- The Router says that a worker seems silent at the first request that is overdue there with no answer since: alone that proves little, but others may have one too.
Where peers believe a worker ill its trials come every 4 to 12 s, and at once when one of them has had an answer.
- cmd/lab, internal/lab: stand-in workers with faults, fleets of real schedulers, a hostile member, a flood; lab gossip on processes and in virtual time, with a plot.
- Tests with a dozen processes: mass accuser, true silence, flood, SIGSTOP, half killed and back; revocation, a new authority, an open key, two with one name.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 .PHONY: build test race lint fuzz run serve generate
 
-build: ## both programs, as the platform builds them
+build: ## all programs, as the platform builds them
 	mkdir -p bin && go build -buildvcs=false -o bin/ ./cmd/...
 
 test: ## all tests; those of the program start it as a process
@@ -17,7 +17,7 @@
 	go tool staticcheck ./...
 
 fuzz: ## each parser for a while
-	for p in fastcgi agent bulletin operator; do go test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./internal/$$p || exit 1; done
+	for p in fastcgi agent bulletin operator gossip suspicion; do go test -run '^$$' -fuzz Fuzz -fuzztime 30s ./internal/$$p || exit 1; done
 
 run: build ## the example: a toy bulletin and agent, a scheduler in front of them, and a call that it serves
 	@$(example); bin/calicohill call consulta --wait 10s --body hello
--- a/api.go
+++ b/api.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"calicohill/internal/bucket"
 )
 
 // Settings tells a Router what the deployment allows, promises and charges. A Router keeps no other
@@ -81,6 +83,15 @@
 	return least, nil
 }
 
+// shares are those of the tenants in what one scheduler takes in. A share under one call is saved up.
+func (s *Settings) shares() *bucket.Shares {
+	var rates []float64
+	for _, t := range s.Tenants {
+		rates = append(rates, t.PerSecond/float64(s.Schedulers))
+	}
+	return bucket.NewShares(rates)
+}
+
 // Fees are points of the service figure, each times its rate.
 type Fees struct {
 	Waste    float64 // work that answered nothing, per work offered
--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -18,6 +18,7 @@
 	"calicohill/internal/deadline"
 	"calicohill/internal/dispatch"
 	"calicohill/internal/fastcgi"
+	"calicohill/internal/gossipnet"
 	"calicohill/internal/logs"
 	"calicohill/internal/loop"
 	"calicohill/internal/operator"
@@ -90,6 +91,7 @@
 		return err
 	}
 	log := parts.Part("scheduler")
+	cfg.Site.Peers = own.Gossip != nil
 	router, err := calicohill.New(cfg.Site.Settings, cfg.Seed)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -112,8 +114,21 @@
 		MaxAnswer: min(max(cfg.MemoryMB<<20/4/(cfg.Sockets/3), leastAnswer), mostAnswer)}, parts.Part("agent"))
 	d.Use(agents)
 	server := fastcgi.New(l, d, pool, &cfg.Site, clients, parts.Part("clients"))
-	watch, err := bulletin.New(l, cfg.Bulletin, cfg.Known, cfg.Site.Zones, cfg.Site.Kinds, d.List,
-		parts.Part("bulletin"))
+	list := d.List
+	var peers *gossipnet.Node
+	if own.Gossip != nil {
+		peers, err = gossipnet.Open(*own.Gossip, func(h calicohill.PeersHold) { l.Post(func() { d.PeersHold(h) }) },
+			parts.Part("gossip"))
+		if err != nil {
+			return err
+		}
+		d.Tell(peers.Saw)
+		list = func(r dispatch.Roster) {
+			d.List(r)
+			peers.Listed(d.Listed())
+		}
+	}
+	watch, err := bulletin.New(l, cfg.Bulletin, cfg.Known, cfg.Site.Zones, cfg.Site.Kinds, list, parts.Part("bulletin"))
 	if err != nil {
 		return fmt.Errorf("configuration %s: %w", from.config, err)
 	}
@@ -131,9 +146,18 @@
 			}
 			return
 		}
+		takeUp := func() error { return nil }
+		if err == nil && (peers == nil) != (nextOwn.Gossip == nil) {
+			log.Warn("gossip is switched on or off by a restart alone")
+		} else if err == nil && peers != nil {
+			takeUp, err = peers.Prepare(*nextOwn.Gossip)
+		}
 		if err == nil {
 			err = parts.Apply(nextOwn.Log)
 		}
+		if err == nil {
+			err = takeUp()
+		}
 		if err != nil {
 			log.WithError(err).Error("configuration not read again: the old one stands")
 			return
@@ -145,6 +169,9 @@
 	l.Accept = server.Accept
 	l.Boot = func() {
 		watch.Start()
+		if peers != nil {
+			peers.Run()
+		}
 		go heed(signals, l, reload, func(s os.Signal) {
 			if !draining {
 				draining = true
@@ -157,6 +184,9 @@
 	if err := l.Run(cfg.Listen); err != nil {
 		return err
 	}
+	if peers != nil {
+		peers.Close()
+	}
 	log.Info("scheduler ended")
 	return nil
 }
--- /dev/null
+++ b/cmd/lab/main.go
@@ -0,0 +1,98 @@
+// Command lab is the laboratory: it runs fleets of real schedulers against stand-ins on loopback, or their cores in
+// virtual time, makes things fail, and prints what was measured.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"calicohill/internal/lab"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &cobra.Command{Use: "lab", Short: "The laboratory of calicohill", SilenceErrors: true, SilenceUsage: true}
+	root.AddCommand(gossipCommand())
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "lab:", err)
+		stop()
+		os.Exit(1)
+	}
+}
+
+func gossipCommand() *cobra.Command {
+	var d lab.GossipDay
+	var virtual, asJSON bool
+	var plotTo string
+	cmd := &cobra.Command{
+		Use: "gossip", Short: "Shared suspicions: some workers fall silent, with and without liars, shared and alone",
+		Example: "  bin/lab gossip --instances 12 --hostile 1 --workers 40 --seconds 20 --json\n" +
+			"  bin/lab gossip --virtual --instances 1000 --plot gossip.svg --json",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if d.Instances < 2 || d.Workers < 4 || d.Seconds < 1 || d.Hostile < 0 || d.Rate <= 0 {
+				return errors.New("at least 2 instances, 4 workers, 1 second and a rate are needed")
+			}
+			out := cmd.OutOrStdout()
+			if virtual {
+				sizes := []int{}
+				for _, n := range []int{12, 40, 120, 400, 1000, 4000} {
+					if n < d.Instances {
+						sizes = append(sizes, n)
+					}
+				}
+				r := lab.Virtual(append(sizes, d.Instances), d.Seed)
+				if plotTo != "" {
+					if err := lab.PlotVirtual(r, plotTo); err != nil {
+						return err
+					}
+				}
+				return show(out, asJSON, r)
+			}
+			var err error
+			if d.Program == "" {
+				if d.Program, err = lab.Beside(); err != nil {
+					return err
+				}
+			}
+			d.Say = func(line string) { fmt.Fprintln(cmd.ErrOrStderr(), line) }
+			r, err := d.Run(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return show(out, asJSON, r)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&d.Program, "program", "", "the scheduler; the one beside this program if not set")
+	f.IntVar(&d.Instances, "instances", 12, "schedulers; with --virtual the most of them")
+	f.IntVar(&d.Hostile, "hostile", 1, "members more that lie")
+	f.IntVar(&d.Workers, "workers", 40, "stand-in workers")
+	f.IntVar(&d.Silent, "silent", 0, "workers that fall silent; one in twelve if not set")
+	f.Float64Var(&d.Seconds, "seconds", 20, "how long each run lasts")
+	f.Float64Var(&d.Rate, "rate", 240, "requests a second, of all instances")
+	f.Uint64Var(&d.Seed, "seed", 1, "of load and faults")
+	f.BoolVar(&d.Floods, "flood", true, "measure a flood of forged datagrams too")
+	f.BoolVar(&virtual, "virtual", false, "only the membership, in virtual time, from 12 instances up")
+	f.StringVar(&plotTo, "plot", "", "with --virtual: `FILE`, .svg or .png, for a plot")
+	f.BoolVar(&asJSON, "json", false, "print one JSON object in a line")
+	return cmd
+}
+
+// show prints a result, as one line or for people.
+func show(out io.Writer, oneLine bool, result any) error {
+	e := json.NewEncoder(out)
+	if !oneLine {
+		e.SetIndent("", "  ")
+	}
+	return e.Encode(result)
+}
--- a/health.go
+++ b/health.go
@@ -32,10 +32,18 @@
 // doubt makes a worker suspect: it gets nothing but trials until it answers.
 func (r *Router) doubt(w *worker) {
 	if !w.suspect {
-		w.suspect, w.tries, w.tryAt = true, 0, r.now+trialAfter
+		w.suspect, w.tries, w.tryAt = true, 0, r.now+r.pause(w)
 	}
 }
 
+// pause is how long a suspect worker is left alone. Where others find it ill too they take turns at it.
+func (r *Router) pause(w *worker) time.Duration {
+	if w.word == Believed {
+		return seconds((0.5 + r.rng.Float64()) * (trialAfter << trialMost).Seconds())
+	}
+	return trialAfter << min(w.tries, trialMost)
+}
+
 // observe says what this scheduler itself finds of a worker, where there are others to tell.
 func (r *Router) observe(w *worker, t Trouble, at time.Duration) {
 	if r.set.Peers && (t != w.seen || at-w.seenAt > wordOwn/4 && (t != Well || w.word > NoWord)) {
@@ -93,10 +101,12 @@
 			newest = a.sent
 		}
 	}
-	if overdue >= 2 || overdue > 0 && w.suspect {
-		r.doubt(w)
+	if overdue > 0 { // where one alone proves little, others may have one too
 		r.observe(w, Silent, newest)
 	}
+	if overdue >= 2 {
+		r.doubt(w)
+	}
 	ill := w.State == Gone || w.suspect
 	for _, a := range w.outs {
 		switch {
@@ -175,8 +185,7 @@
 	}
 }
 
-// tidy forgets functions that nobody has called for long and workers that are gone, so that neither pile up:
-// new ones come all day.
+// tidy forgets functions that nobody calls any more and workers that are gone: new ones come all day.
 func (r *Router) tidy() {
 	gone := func(w *worker) bool {
 		return w.State == Gone && len(w.outs) == 0 && r.now-w.goneAt >= r.set.KeepAlive
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -6,6 +6,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"calicohill"
@@ -124,6 +126,8 @@
 
 	events []calicohill.Event
 	posted bool
+
+	observe func(calicohill.Observe) // nil where nobody is told
 }
 
 type request struct {
@@ -155,6 +159,15 @@
 // Use names what reaches the workers.
 func (d *Dispatcher) Use(w Workers) { d.workers = w }
 
+// Tell names who is told what the Router finds of workers. It must not wait.
+func (d *Dispatcher) Tell(observe func(calicohill.Observe)) { d.observe = observe }
+
+// PeersHold takes in what other schedulers hold of workers.
+func (d *Dispatcher) PeersHold(h calicohill.PeersHold) { d.tell(h) }
+
+// Listed is the workers that the list names, gone ones left out.
+func (d *Dispatcher) Listed() []string { return slices.Sorted(maps.Keys(d.states)) }
+
 // Ready reports whether a list of workers is held.
 func (d *Dispatcher) Ready() bool { return d.listed }
 
@@ -337,6 +350,10 @@
 	case calicohill.SetTimer:
 		d.loop.At(&deadline.Entry{Fire: func() { d.tell(calicohill.TimerFired{Token: a.Token}) }},
 			d.loop.Now()+a.After)
+	case calicohill.Observe:
+		if d.observe != nil {
+			d.observe(a)
+		}
 	case calicohill.Probe:
 		d.workers.Probe(a.Worker)
 	case calicohill.Load:
--- a/internal/gossip/guard.go
+++ b/internal/gossip/guard.go
@@ -61,7 +61,6 @@
 	highest uint64 // sequence number
 	window  uint64 // bit i: the number highest-i was seen
 	cookie  Cookie // to be shown to it
-	shown   Cookie // that it is to show
 	budget  bucket.Bucket
 	heard   time.Duration
 	met     bool // it has shown this member's cookie in its present life
@@ -179,7 +178,8 @@
 
 // Opened is a datagram that was read.
 type Opened struct {
-	From string
+	From  string
+	Epoch int64 // the start of its sender
 	*Message
 	Trusted bool // its sender has heard from this member since both started: no replay
 	// Twice is a statement that contradicts another of the same number, signed by the same member.
@@ -252,7 +252,7 @@
 	if m.Cookie != (Cookie{}) {
 		p.cookie = m.Cookie
 	}
-	o := &Opened{From: h.from, Message: m, Trusted: trusted}
+	o := &Opened{From: h.from, Epoch: h.epoch, Message: m, Trusted: trusted}
 	g.records(o, pay)
 	g.statements(o, wall, pay)
 	return o, nil
@@ -329,6 +329,13 @@
 func (g *Guard) records(o *Opened, pay func() bool) {
 	kept := o.Records[:0]
 	for _, r := range o.Records {
+		if r.Name == g.own.Name() {
+			// Only one of this name that started later is news, and only with this member's own key.
+			if r.Epoch > g.epoch && pay() && g.check(g.own.Cert, r.signed(g.fleet), r.Sig) {
+				kept = append(kept, r)
+			}
+			continue
+		}
 		p := g.peers[r.Name]
 		if p == nil || p.cert == nil {
 			r.Sig = nil
--- /dev/null
+++ b/internal/lab/fleet.go
@@ -0,0 +1,411 @@
+package lab
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"calicohill/internal/fleetkey"
+)
+
+// settings is a platform's settings as a fleet of the laboratory has them.
+const settings = `{"balancers":%d,"rank":%d,"az":0,"tickMs":4,"dcs":["here"],"shapes":["std"],
+ "ceilings":{"attemptsCap":4,"cancel":true,"secondCopies":true,"retryAfter":true,"maxRetryAfterMs":500,
+  "multiplex":100,"idleCloseMs":15000,"connectTimeoutMs":250},
+ "classes":[
+  {"name":"consulta","aimMs":750,"hardLimitMs":3000,"worth":1,"lateWorth":0.1,"effect":"read_like"},
+  {"name":"registro-horas","aimMs":600,"hardLimitMs":2500,"worth":3,"lateWorth":0.2,
+   "effect":"idempotency_key","dedupScope":"all","memorySpanMs":2500},
+  {"name":"certificado","aimMs":750,"hardLimitMs":2500,"worth":2,"lateWorth":0.3,"effect":"non_idempotent"}],
+ "familyInfo":{"idleLifeMs":30000,"saysCompany":true,"whenAbsent":"load"},
+ "report":{"fields":["util"],"how":"piggyback"},
+ "safety":{"answerSlackMs":16,"coldMs":17000,"coldShare":0.25,"overloadForMs":2000,"stopSendingWithinMs":1000,
+  "tipMultiple":3}}`
+
+// Fleet is schedulers as real processes, the workers that they share, and what tells them of each other.
+type Fleet struct {
+	Program   string   // the scheduler
+	Env       []string // more than the laboratory's own
+	Dir       string   // for files; the caller's to remove
+	Instances []*Instance
+	Workers   []*Worker
+	Authority *fleetkey.Authority
+	Sharing   bool
+
+	bulletin *httptest.Server
+	mu       sync.Mutex
+	events   []string
+	changed  chan struct{}
+}
+
+// Instance is one scheduler.
+type Instance struct {
+	Name, Addr, Gossip string
+	Key                string // file
+	Log                *Log
+
+	fleet  *Fleet
+	config string
+	own    string
+	cmd    *exec.Cmd
+	ended  chan error
+}
+
+// Log collects what a process writes.
+type Log struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+	from int // where the latest process began to write
+}
+
+// Write takes in more.
+func (l *Log) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+// String is all so far.
+func (l *Log) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// Line is a line of a scheduler's log, by its fields.
+type Line map[string]any
+
+// Lines is the lines so far, those that are no JSON left out.
+func (l *Log) Lines() []Line { return parse(l.String()) }
+
+// Latest is the lines of the latest process.
+func (l *Log) Latest() []Line {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return parse(l.text.String()[l.from:])
+}
+
+func parse(log string) (lines []Line) {
+	for text := range strings.SplitSeq(log, "\n") {
+		var line Line
+		if json.Unmarshal([]byte(text), &line) == nil {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// Text is a field as text.
+func (l Line) Text(name string) string {
+	s, _ := l[name].(string)
+	return s
+}
+
+// Number is a field as a figure.
+func (l Line) Number(name string) float64 {
+	x, _ := l[name].(float64)
+	return x
+}
+
+// Time is when the line was written.
+func (l Line) Time() time.Time {
+	t, _ := time.Parse("2006-01-02T15:04:05.000Z07:00", l.Text("time"))
+	return t
+}
+
+// Prepare has workers and their bulletin run and writes the files of schedulers, which do not run yet.
+func (f *Fleet) Prepare(instances, workers int) error {
+	f.changed = make(chan struct{})
+	var err error
+	if f.Authority, err = fleetkey.NewAuthority("lab", time.Now().Add(-time.Hour), 24*time.Hour); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(f.Dir, "fleet.crt"), fleetkey.EncodeCert(f.Authority.Cert), 0o600); err != nil {
+		return err
+	}
+	for i := range workers {
+		w, err := NewWorker(fmt.Sprintf("w%02d", i))
+		if err != nil {
+			f.Close()
+			return err
+		}
+		f.Workers = append(f.Workers, w)
+	}
+	f.bulletin = httptest.NewServer(http.HandlerFunc(f.poll))
+	f.Tell(true, f.Workers, "SERVING")
+	for i := range instances {
+		in := &Instance{Name: fmt.Sprintf("n%d", i), fleet: f}
+		if in.Addr, err = free("tcp"); err == nil {
+			in.Gossip, err = free("udp")
+		}
+		if err != nil {
+			f.Close()
+			return err
+		}
+		f.Instances = append(f.Instances, in)
+	}
+	for _, in := range f.Instances {
+		if err := in.configure(); err != nil {
+			f.Close()
+			return err
+		}
+	}
+	return nil
+}
+
+// free is an address of loopback that nobody listens on.
+func free(network string) (string, error) {
+	if network == "udp" {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		defer c.Close()
+		return c.LocalAddr().String(), nil
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// Tell adds an event to the bulletin.
+func (f *Fleet) Tell(all bool, workers []*Worker, state string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for _, w := range workers {
+		list = append(list, fmt.Sprintf(`{"uid":%q,"state":%q,"endpoint":%q,"az":"here","model":"std","boot_ms":0}`,
+			w.ID, state, w.Addr))
+	}
+	f.events = append(f.events, fmt.Sprintf(`{"no":%d,"roster":{"rev":1,"all":%v,"targets":[%s]}}`,
+		len(f.events)+1, all, strings.Join(list, ",")))
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *Fleet) feed(after int) string {
+	return fmt.Sprintf(`{"no":%d,"items":[%s]}`, len(f.events), strings.Join(f.events[min(after, len(f.events)):], ","))
+}
+
+// poll answers as the bulletin does.
+func (f *Fleet) poll(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get("patience"))
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		f.mu.Lock()
+		text, news, changed := f.feed(after), after < len(f.events), f.changed
+		f.mu.Unlock()
+		if !news {
+			select {
+			case <-changed:
+				continue
+			case <-timeout:
+			case <-r.Context().Done():
+				return
+			}
+		}
+		fmt.Fprint(w, text)
+		return
+	}
+}
+
+// configure writes the files of an instance: the platform's, its key and the operator's.
+func (in *Instance) configure() error {
+	f := in.fleet
+	rank, _ := strconv.Atoi(in.Name[1:])
+	f.mu.Lock()
+	known := f.feed(0)
+	f.mu.Unlock()
+	text, err := json.Marshal(map[string]any{"name": in.Name, "listen": in.Addr, "seed": fmt.Sprintf("%016x", rank+1),
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"bulletin": f.bulletin.Listener.Addr().String(), "known": json.RawMessage(known),
+		"settings": json.RawMessage(fmt.Sprintf(settings, len(f.Instances), rank))})
+	if err != nil {
+		return err
+	}
+	in.config, in.own = filepath.Join(f.Dir, in.Name+".json"), filepath.Join(f.Dir, in.Name+".conf")
+	if err := os.WriteFile(in.config, text, 0o600); err != nil {
+		return err
+	}
+	if err := in.NewKey(f.Authority); err != nil {
+		return err
+	}
+	return os.WriteFile(in.own, []byte(in.Operator("")), 0o600)
+}
+
+// NewKey gives an instance a key of an authority.
+func (in *Instance) NewKey(a *fleetkey.Authority) error {
+	m, err := a.Issue(in.Name, time.Now().Add(-time.Hour), 12*time.Hour)
+	if err != nil {
+		return err
+	}
+	in.Key = filepath.Join(in.fleet.Dir, in.Name+".key")
+	if err := os.Remove(in.Key); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	return fleetkey.WriteFile(in.Key, m.Key, m.Cert)
+}
+
+// Operator is the operator's file of an instance, with more lines of the section gossip.
+func (in *Instance) Operator(more string) string {
+	text := "log\n  format json\n"
+	if !in.fleet.Sharing {
+		return text
+	}
+	text += fmt.Sprintf("gossip\n  listen %s\n  fleet lab\n  key %s\n  authority fleet.crt\n", in.Gossip, in.Key)
+	for _, o := range in.fleet.Instances[:min(3, len(in.fleet.Instances))] {
+		text += "  seed " + o.Gossip + "\n"
+	}
+	return text + more
+}
+
+// Rewrite replaces the operator's file.
+func (in *Instance) Rewrite(text string) error { return os.WriteFile(in.own, []byte(text), 0o600) }
+
+// Start runs a scheduler. It is up once Ready says so.
+func (in *Instance) Start() error {
+	in.cmd = exec.Command(in.fleet.Program, "run", "--config", in.config, "--operator", in.own)
+	in.cmd.Env = append(append(os.Environ(), "ROUTER_CONFIG=", "ROUTER_NAME=", "ROUTER_LISTEN="), in.fleet.Env...)
+	if in.Log == nil {
+		in.Log = &Log{}
+	}
+	in.Log.mu.Lock()
+	in.Log.from = in.Log.text.Len()
+	in.Log.mu.Unlock()
+	in.cmd.Stdout, in.cmd.Stderr = in.Log, in.Log
+	if err := in.cmd.Start(); err != nil {
+		return fmt.Errorf("scheduler %s: %w", in.Name, err)
+	}
+	in.ended = make(chan error, 1)
+	go func(cmd *exec.Cmd, ended chan error) { ended <- cmd.Wait() }(in.cmd, in.ended)
+	return nil
+}
+
+// Signal sends a signal to a scheduler.
+func (in *Instance) Signal(s syscall.Signal) error { return in.cmd.Process.Signal(s) }
+
+// Kill ends a scheduler without a word.
+func (in *Instance) Kill() {
+	if in.ended != nil {
+		_ = in.cmd.Process.Kill() // it may have ended
+		<-in.ended
+		in.ended = nil
+	}
+}
+
+// Stop ends a scheduler as a planned restart does.
+func (in *Instance) Stop() error {
+	if in.ended == nil {
+		return nil
+	}
+	if err := in.Signal(syscall.SIGTERM); err != nil {
+		return fmt.Errorf("scheduler %s: %w", in.Name, err)
+	}
+	select {
+	case err := <-in.ended:
+		in.ended = nil
+		if err != nil {
+			return fmt.Errorf("scheduler %s ended with %w", in.Name, err)
+		}
+		return nil
+	case <-time.After(20 * time.Second):
+		in.Kill()
+		return fmt.Errorf("scheduler %s does not end", in.Name)
+	}
+}
+
+// Stop ends all schedulers as a planned restart does.
+func (f *Fleet) Stop() error {
+	errs := make([]error, len(f.Instances))
+	var wg sync.WaitGroup
+	for i, in := range f.Instances {
+		wg.Go(func() { errs[i] = in.Stop() })
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+// CPU is the processor time that a scheduler has used.
+func (in *Instance) CPU() time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", in.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	f := strings.Fields(rest)
+	if len(f) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(f[11])
+	system, _ := strconv.Atoi(f[12])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
+// Memory is what a scheduler holds of memory, in kB.
+func (in *Instance) Memory() int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", in.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), "VmRSS:")
+	n, _ := strconv.Atoi(strings.Fields(rest + " 0")[0])
+	return n
+}
+
+// Close ends all.
+func (f *Fleet) Close() {
+	for _, in := range f.Instances {
+		in.Kill()
+	}
+	for _, w := range f.Workers {
+		w.Close()
+	}
+	if f.bulletin != nil {
+		f.bulletin.CloseClientConnections()
+		f.bulletin.Close()
+	}
+}
+
+// Move gives an instance new addresses and files of its own, under the name and the key that it has.
+func (in *Instance) Move() (err error) {
+	if in.Addr, err = free("tcp"); err != nil {
+		return err
+	}
+	if in.Gossip, err = free("udp"); err != nil {
+		return err
+	}
+	key := in.Key
+	text, err := os.ReadFile(in.config)
+	if err != nil {
+		return err
+	}
+	var platform map[string]any
+	if err := json.Unmarshal(text, &platform); err != nil {
+		return err
+	}
+	platform["listen"] = in.Addr
+	if text, err = json.Marshal(platform); err != nil {
+		return err
+	}
+	in.config, in.own, in.Key = in.config+".moved", in.own+".moved", key
+	if err := os.WriteFile(in.config, text, 0o600); err != nil {
+		return err
+	}
+	return in.Rewrite(in.Operator(""))
+}
--- /dev/null
+++ b/internal/lab/load.go
@@ -0,0 +1,157 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"calicohill/internal/fastcgi"
+)
+
+// Load is what a front offers.
+type Load struct {
+	Rate      float64 // requests a second, of all instances together
+	Functions int
+	Skew      float64 // the instances' parts: instance i gets a part that falls with i; 0 means equal ones
+	Seed      uint64
+}
+
+// Tally counts what became of requests.
+type Tally struct {
+	Asked, Served, Refused, Failed, Lost int // Lost: no answer at all
+}
+
+// Share is the share served.
+func (t Tally) Share() float64 {
+	if t.Asked == 0 {
+		return 0
+	}
+	return float64(t.Served) / float64(t.Asked)
+}
+
+// classes and how often each is asked for, as in docs: two in five read, as many file hours, the rest certify.
+var classes = []struct {
+	name  string
+	share float64
+}{{"consulta", 0.39}, {"registro-horas", 0.35}, {"certificado", 0.26}}
+
+// Wait waits until all instances serve.
+func (f *Fleet) Wait(ctx context.Context, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	for _, in := range f.Instances {
+		for {
+			c, err := fastcgi.Dial(ctx, in.Addr)
+			if err == nil {
+				var r fastcgi.Reply
+				r, err = c.Do(ctx, fastcgi.Request{Path: "/health", Budget: time.Second})
+				c.Close()
+				if err == nil && r.Verdict() == "served" {
+					break
+				}
+			}
+			if ctx.Err() != nil {
+				return fmt.Errorf("scheduler %s does not come up: %w\n%s", in.Name, err, in.Log)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// Offer offers load to the instances until the context ends, and tells what became of it.
+func (f *Fleet) Offer(ctx context.Context, l Load) Tally {
+	var mu sync.Mutex
+	var all Tally
+	var wg sync.WaitGroup
+	total := 0.0
+	part := func(i int) float64 { return 1 / (1 + l.Skew*float64(i)) }
+	for i := range f.Instances {
+		total += part(i)
+	}
+	for i, in := range f.Instances {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(l.Seed, uint64(i)))
+			zipf := rand.NewZipf(rng, 1.3, 4, uint64(l.Functions-1))
+			rate := l.Rate * part(i) / total
+			f.front(ctx, in, func(fire func(fastcgi.Request)) {
+				start, due := time.Now(), 0.0
+				for n := 0; ; n++ {
+					due += rng.ExpFloat64() / rate
+					if !sleep(ctx, time.Until(start.Add(time.Duration(due*float64(time.Second))))) {
+						return
+					}
+					x, class := rng.Float64(), ""
+					for _, c := range classes {
+						if class = c.name; x < c.share {
+							break
+						}
+						x -= c.share
+					}
+					fire(fastcgi.Request{Path: "/rpc/" + class, ID: fmt.Sprintf("%04x%012x", i, rng.Uint64()&(1<<48-1)),
+						Function: fmt.Sprintf("%016x", zipf.Uint64()+1), OnceKey: fmt.Sprintf("%04x%016x", i, rng.Uint64()),
+						Budget: 2 * time.Second, Spec: "memory_mb:512;lanes:4", Body: []byte(in.Name + " asks")})
+				}
+			}, func(r fastcgi.Reply, err error) {
+				mu.Lock()
+				defer mu.Unlock()
+				all.Asked++
+				switch {
+				case err != nil:
+					all.Lost++
+				case r.Verdict() == "served":
+					all.Served++
+				case r.Verdict() == "refused":
+					all.Refused++
+				default:
+					all.Failed++
+				}
+			})
+		})
+	}
+	wg.Wait()
+	return all
+}
+
+// front sends what offer fires to an instance, over as many connections as that takes.
+func (f *Fleet) front(ctx context.Context, in *Instance, offer func(func(fastcgi.Request)), told func(fastcgi.Reply, error)) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var idle []*fastcgi.Client
+	defer func() {
+		wg.Wait()
+		for _, c := range idle {
+			c.Close()
+		}
+	}()
+	offer(func(q fastcgi.Request) {
+		wg.Go(func() {
+			mu.Lock()
+			var c *fastcgi.Client
+			if n := len(idle); n > 0 {
+				c, idle = idle[n-1], idle[:n-1]
+			}
+			mu.Unlock()
+			// Requests that are under way when the day ends are still answered.
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), q.Budget+time.Second)
+			defer cancel()
+			var err error
+			if c == nil {
+				if c, err = fastcgi.Dial(ctx, in.Addr); err != nil {
+					told(fastcgi.Reply{}, err)
+					return
+				}
+			}
+			r, err := c.Do(ctx, q)
+			if told(r, err); err != nil {
+				c.Close()
+				return
+			}
+			mu.Lock()
+			idle = append(idle, c)
+			mu.Unlock()
+		})
+	})
+}
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -253,7 +253,12 @@
 }
 
 // Next is when Step must be called at the latest.
-func (c *Core) Next() time.Duration { return c.now + sayEvery }
+func (c *Core) Next() time.Duration {
+	if len(c.words) == 0 && c.silent == 0 && !c.changed {
+		return c.now + time.Second // only to forget
+	}
+	return c.now + sayEvery
+}
 
 // Need is how many accusers it takes to leave a worker out: one more than may lie, and two at the least.
 func (c *Core) Need() int {
--- a/learn.go
+++ b/learn.go
@@ -50,7 +50,9 @@
 			p.warm, p.loading = false, false
 		}
 	case TimedOut:
-		r.missed(a, aloneMore)
+		if r.missed(a, aloneMore); w.lastAnswer < a.sent {
+			r.observe(w, Silent, a.sent)
+		}
 	case Cancelled:
 		if a.rescued { // the other was answered first
 			r.missed(a, 1)
@@ -85,14 +87,13 @@
 	if w.lastAnswer, w.breaks = r.now, 0; w.suspect {
 		w.suspect, w.tries, w.limit = false, 0, max(limitMin, min(w.limit, 2))
 	}
-	switch {
-	case r.errsOf(w) > errsMost:
-		r.observe(w, Failing, r.now)
-	case r.paceOf(w) > stalledPace:
-		r.observe(w, Stalled, r.now)
-	default:
-		r.observe(w, Well, r.now)
+	t := Well
+	if r.errsOf(w) > errsMost {
+		t = Failing
+	} else if r.paceOf(w) > stalledPace {
+		t = Stalled
 	}
+	r.observe(w, t, r.now)
 }
 
 // learn takes in a served answer.
--- a/queue.go
+++ b/queue.go
@@ -44,7 +44,7 @@
 		late = late || r.rng.Float64() < min(share, refuseMost)*math.Pow(r.theirs(), 4)
 	}
 	// Traffic past its tenant's share is worth little: it makes way as soon as anything has to wait.
-	if over := r.overShare(e.Tenant); hopeless || late || over && (len(r.held) > 0 || share > 0) {
+	if over := r.shares.Spent(r.now, e.Tenant); hopeless || late || over && (len(r.held) > 0 || share > 0) {
 		r.finish(q)
 		return
 	}
@@ -128,12 +128,3 @@
 		delete(r.requests, q.ID)
 	}
 }
-
-// overShare takes a request out of its tenant's share and reports whether the share was spent.
-func (r *Router) overShare(tenant int) bool {
-	if tenant < 0 || tenant >= len(r.set.Tenants) || r.set.Tenants[tenant].PerSecond <= 0 {
-		return false
-	}
-	rate := r.set.Tenants[tenant].PerSecond / float64(r.set.Schedulers)
-	return !r.tenants[tenant].Take(r.now, 1, rate, max(rate, 1)) // a share under one call is saved up
-}
--- a/router.go
+++ b/router.go
@@ -33,7 +33,7 @@
 	spillMost    = 0.4 // share of lanes taken up to which a function that stands may be loaded elsewhere too
 	loadLanes    = 4   // calls of ours that may wait for loads at a worker when another load is sent there
 
-	trialAfter = time.Second // first pause before a suspect worker is tried again; doubles, to 8 s
+	trialAfter, trialMost = time.Second, 3 // pause before a suspect worker is tried again; doubles so often
 
 	wordOwn     = time.Second // a worker that answered here so lately is not left out on the word of others
 	stalledPace = 4.0         // answers that take this many times what they take elsewhere count as stalled
@@ -74,14 +74,14 @@
 	list          []*worker // by id
 	version       int       // of the list, for the functions' hash orders
 	funcs         map[string]*function
-	leastAim, lat float64         // least aim of all classes and mean latency of warm calls, in seconds
-	well          int             // usable workers that do not answer errors
-	alone         int             // calls overdue alone that may be sent elsewhere too
-	lanes, busy   float64         // lanes that are usable; share of them that is taken
-	allCalls      float64         // of all functions, decaying
-	outWork       float64         // summed service times of attempts that are out, in seconds
-	calls, orders decay.Window    // taken, and orders to load given
-	tenants       []bucket.Bucket // what is left of each tenant's share
+	leastAim, lat float64        // least aim of all classes and mean latency of warm calls, in seconds
+	well          int            // usable workers that do not answer errors
+	alone         int            // calls overdue alone that may be sent elsewhere too
+	lanes, busy   float64        // lanes that are usable; share of them that is taken
+	allCalls      float64        // of all functions, decaying
+	outWork       float64        // summed service times of attempts that are out, in seconds
+	calls, orders decay.Window   // taken, and orders to load given
+	shares        *bucket.Shares // of tenants
 
 	// answers of warm workers since servedAt; and in a second, for a worker of size 1
 	served                       float64
@@ -160,7 +160,7 @@
 		return nil, err
 	}
 	return &Router{set: s, rng: rand.New(rand.NewPCG(seed, 0)), leastAim: least.Seconds(), version: 1,
-		tenants: make([]bucket.Bucket, len(s.Tenants)), requests: map[string]*request{},
+		shares: s.shares(), requests: map[string]*request{},
 		workers: map[string]*worker{}, funcs: map[string]*function{}}, nil
 }
 
--- a/router_test.go
+++ b/router_test.go
@@ -938,15 +938,15 @@
 	}), fleet(1)...)
 	b.now += time.Minute
 	b.step(0)
-	if b.r.overShare(0) {
+	if b.r.shares.Spent(b.r.now, 0) {
 		t.Error("the first call in a minute is past its share")
 	}
-	if !b.r.overShare(0) {
+	if !b.r.shares.Spent(b.r.now, 0) {
 		t.Error("a second call at once is within a share of 0.2 a second")
 	}
 	b.now += 6 * time.Second
 	b.step(0)
-	if b.r.overShare(0) {
+	if b.r.shares.Spent(b.r.now, 0) {
 		t.Error("past its share after 6 s at 0.2 a second")
 	}
 }
@@ -1046,7 +1046,7 @@
 		seen = append(seen, only[Observe](b.wait(time.Second))...)
 		back := b.now
 		seen = append(seen, only[Observe](b.step(0, end(Send{ID: "b0", Worker: "w0"}, 0, Served)))...)
-		want := []Observe{{"w0", Silent, sent}, {"w0", Well, back}}
+		want := []Observe{{"w0", Silent, sent}, {"w0", Well, back}} // both are overdue at the same look
 		if !on {
 			want = nil
 		}
--- a/rules.go
+++ b/rules.go
@@ -114,10 +114,8 @@
 		w.quota--
 	}
 	if w.suspect {
-		if w.tries++; w.word == Believed { // others try it too, and vouch for it once it answers
-			w.tries = max(w.tries, 3)
-		}
-		w.tryAt = r.now + trialAfter<<min(w.tries, 3)
+		w.tries++
+		w.tryAt = r.now + r.pause(w)
 	}
 	r.act(Send{q.ID, w.ID, max(q.end-r.now-r.set.Tick, time.Millisecond)})
 	return true
