Let rules in the operator's file decide class, affinity key, route and labels

Need: other installations want to decide these from what a request carries, without a rebuild and without one rule being able to slow the calls of others.

- internal/match: a typed language cut down from expr-lang/expr.
Types, fields, parameters, the worst cost of each expression and of all that one request can meet are decided at load; loops, calls, variables and texts without a bound are refused, each with its place.
No rule makes a class less strict about repeats or keyed without a key.
- Sections with names and expressions in the operator's file; rules are taken up on reload, a request keeps what it met.
- calicohill match, check with the site's classes, counts by SIGUSR1, labels in the log.

--- a/cmd/calicohill/check.go
+++ b/cmd/calicohill/check.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"calicohill/internal/config"
+	"calicohill/internal/match"
 	"calicohill/internal/operator"
 
 	"github.com/spf13/cobra"
@@ -37,15 +39,25 @@
 				return nil
 			}
 			bad := 0
+			var classes []match.Class // not known without the platform's file
 			if platform != "" {
 				// A file holds no name or address where the environment tells them.
-				if _, err := config.Read(platform, "", ""); err != nil {
+				if cfg, err := config.Read(platform, "", ""); err != nil {
 					fmt.Fprintln(out, err)
 					bad++
+				} else {
+					classes = siteClasses(&cfg.Site)
 				}
 			}
 			for _, file := range args {
-				if _, err := operator.Read(file); err != nil {
+				set, err := operator.Read(file)
+				if err == nil {
+					var warnings operator.Faults
+					if _, warnings, err = set.Compile(classes); len(warnings) > 0 {
+						fmt.Fprintf(out, "warning: %s\n", strings.ReplaceAll(warnings.Error(), "\n", "\nwarning: "))
+					}
+				}
+				if err != nil {
 					fmt.Fprintln(out, err)
 					bad++
 				}
--- a/cmd/calicohill/main.go
+++ b/cmd/calicohill/main.go
@@ -39,7 +39,7 @@
 	root.Use, root.Short = "calicohill", "A scheduler for short calls of functions that workers must hold loaded"
 	root.SilenceErrors, root.SilenceUsage = true, true
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(runCommand(), checkCommand(), callCommand(), keyCommand(), versionCommand())
+	root.AddCommand(runCommand(), checkCommand(), callCommand(), keyCommand(), matchCommand(), versionCommand())
 	return root
 }
 
--- a/cmd/calicohill/peers_test.go
+++ b/cmd/calicohill/peers_test.go
@@ -218,8 +218,11 @@
 	all(t, f, "the one that was stopped is taken for alive", func(in *lab.Instance) bool {
 		last := ""
 		for _, l := range in.Log.Lines() {
-			if l.Text("peer") == "n3" && strings.HasPrefix(l.Text("msg"), "peer ") {
-				last = l.Text("msg")
+			switch msg := l.Text("msg"); msg {
+			case "peer alive", "peer suspect", "peer dead", "peer left":
+				if l.Text("peer") == "n3" {
+					last = msg
+				}
 			}
 		}
 		return in.Name == "n3" || last == "peer alive"
--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -21,7 +21,9 @@
 	"calicohill/internal/gossipnet"
 	"calicohill/internal/logs"
 	"calicohill/internal/loop"
+	"calicohill/internal/match"
 	"calicohill/internal/operator"
+	"calicohill/internal/settings"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
@@ -91,6 +93,13 @@
 		return err
 	}
 	log := parts.Part("scheduler")
+	rules, warnings, err := own.Compile(siteClasses(&cfg.Site))
+	if err != nil {
+		return err
+	}
+	for _, w := range warnings {
+		parts.Part("rules").WithError(w).Warn("rule of no use")
+	}
 	cfg.Site.Peers = own.Gossip != nil
 	router, err := calicohill.New(cfg.Site.Settings, cfg.Seed)
 	if err != nil {
@@ -113,7 +122,8 @@
 		// Even if every connection had an answer coming that never ends, a quarter of the memory is enough.
 		MaxAnswer: min(max(cfg.MemoryMB<<20/4/(cfg.Sockets/3), leastAnswer), mostAnswer)}, parts.Part("agent"))
 	d.Use(agents)
-	server := fastcgi.New(l, d, pool, &cfg.Site, clients, parts.Part("clients"))
+	server := fastcgi.New(l, d, pool, &cfg.Site, clients, parts.Part("clients"), parts.Part("rules"))
+	server.Use(fastcgi.NewRules(rules))
 	list := d.List
 	var peers *gossipnet.Node
 	if own.Gossip != nil {
@@ -134,11 +144,16 @@
 	}
 	// Told before anything is served: a SIGHUP that nobody heeds ends the program.
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGTERM, os.Interrupt)
 	reload := func(os.Signal) {
 		// Of the platform's file only the address of the bulletin is taken: what is out, and all that was learned,
 		// stands. A file that cannot be used changes nothing, or a slip of the pen would end a good scheduler.
 		next, nextOwn, err := from.read()
+		var table *match.Table
+		if err == nil {
+			// The classes are those that the scheduler runs with: the platform's new ones are not taken up.
+			table, _, err = nextOwn.Compile(siteClasses(&cfg.Site))
+		}
 		var faults operator.Faults
 		if errors.As(err, &faults) {
 			for _, f := range faults {
@@ -162,7 +177,10 @@
 			log.WithError(err).Error("configuration not read again: the old one stands")
 			return
 		}
-		l.Post(func() { watch.Move(next.Bulletin) })
+		l.Post(func() {
+			watch.Move(next.Bulletin)
+			server.Use(fastcgi.NewRules(table))
+		})
 		log.WithField("bulletin", next.Bulletin).Info("configuration read again")
 	}
 	draining := false
@@ -172,7 +190,8 @@
 		if peers != nil {
 			peers.Run()
 		}
-		go heed(signals, l, reload, func(s os.Signal) {
+		report := func() { l.Post(func() { reportRules(parts.Part("rules"), server.Rules()) }) }
+		go heed(signals, l, reload, report, func(s os.Signal) {
 			if !draining {
 				draining = true
 				log.WithField("signal", s.String()).Info("draining")
@@ -191,15 +210,35 @@
 	return nil
 }
 
-// heed acts on signals for as long as the program runs: SIGHUP has the configuration read again, SIGTERM or an
-// interrupt begins the end.
-func heed(signals <-chan os.Signal, l *loop.Loop, reload, drain func(os.Signal)) {
+// siteClasses is the site's classes as rules know them.
+func siteClasses(site *settings.Site) []match.Class {
+	list := make([]match.Class, len(site.Classes))
+	for i, c := range site.Classes {
+		list[i] = match.Class{Name: site.ClassNames[i], Effect: c.Effect}
+	}
+	return list
+}
+
+// reportRules logs what became of each rule so far.
+func reportRules(log *logrus.Entry, rules *fastcgi.Rules) {
+	for _, c := range rules.Counts() {
+		log.WithFields(logrus.Fields{"rule": c.Rule, "tried": c.Tried, "matched": c.Matched, "failed": c.Failed, "cost": c.Cost}).
+			Info("rule so far")
+	}
+}
+
+// heed acts on signals for as long as the program runs: SIGHUP has the configuration read again, SIGUSR1 has counts
+// logged, SIGTERM or an interrupt begins the end.
+func heed(signals <-chan os.Signal, l *loop.Loop, reload func(os.Signal), report func(), drain func(os.Signal)) {
 	for s := range signals {
-		if s == syscall.SIGHUP {
+		switch s {
+		case syscall.SIGHUP:
 			reload(s)
-			continue
+		case syscall.SIGUSR1:
+			report()
+		default:
+			l.Post(func() { drain(s) })
 		}
-		l.Post(func() { drain(s) })
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"errors"
 	"maps"
 	"slices"
@@ -21,6 +22,8 @@
 	ID       string // new with every request
 	Class    int
 	Function string
+	Affinity string // what the Router takes for the function where rules say otherwise; "" if they don't
+	Route    string // that rules gave; "" if none
 	Key      string // idempotency key; "" if none
 	Budget   time.Duration
 	Memory   float64 // of a loaded copy, in MB; 0 if not told
@@ -191,7 +194,7 @@
 	q.ref = d.requests.Put(q)
 	d.byID[c.ID] = q.ref
 	d.open++
-	d.tell(calicohill.Request{ID: c.ID, Class: c.Class, Function: c.Function, TimeLeft: max(q.end-now, 0),
+	d.tell(calicohill.Request{ID: c.ID, Class: c.Class, Function: cmp.Or(c.Affinity, c.Function), TimeLeft: max(q.end-now, 0),
 		Memory: c.Memory, Lanes: c.Lanes, LoadTime: c.LoadTime})
 	return q.ref, nil
 }
--- a/internal/fastcgi/call.go
+++ b/internal/fastcgi/call.go
@@ -19,16 +19,25 @@
 // fields are the parameters of a request that mean something here.
 type fields struct {
 	path, id, budget, once, key, spec, length string
+	method                                    string
+	others                                    [][]string // by slot; nil where one is missing
 }
 
-func parseFields(params []byte) (f fields, err error) {
+// parseFields reads the parameters. slots are further ones that rules read, by name.
+func parseFields(params []byte, slots map[string]int) (f fields, err error) {
 	known := map[string]*string{"SCRIPT_NAME": &f.path, "HTTP_REQUEST_ID": &f.id, "HTTP_BUDGET_MS": &f.budget,
 		"HTTP_ONCE_KEY": &f.once, "HTTP_RESOURCE_KEY": &f.key, "HTTP_X_SPEC": &f.spec,
-		"CONTENT_LENGTH": &f.length}
+		"CONTENT_LENGTH": &f.length, "REQUEST_METHOD": &f.method}
+	if len(slots) > 0 {
+		f.others = make([][]string, len(slots))
+	}
 	err = pairs(params, func(name, value []byte) {
 		if p := known[string(name)]; p != nil {
 			*p = string(value)
 		}
+		if i, ok := slots[string(name)]; ok {
+			f.others[i] = []string{string(value)}
+		}
 	})
 	return f, err
 }
--- a/internal/fastcgi/server.go
+++ b/internal/fastcgi/server.go
@@ -59,6 +59,8 @@
 	classes    map[string]int
 	maxConns   int
 	log        logs.Thinned
+	rulesLog   logs.Thinned
+	rules      *Rules // nil where there are none
 
 	conns int
 	// Connections that never had a request whole, in the order they came, and those that had and have none
@@ -73,6 +75,7 @@
 type conn struct {
 	s       *Server
 	c       gnet.Conn // nil once it is gone
+	remote  string    // the client's address, once it was asked for
 	streams map[uint16]*stream
 	unread  time.Duration // how long the latest bytes had waited to be read
 	known   bool          // a request was whole, or was answered
@@ -98,9 +101,9 @@
 }
 
 // New returns a Server that lets in at most maxConns connections.
-func New(l Loop, d Dispatcher, pool *buffer.Pool, site *settings.Site, maxConns int, log logrus.FieldLogger) *Server {
+func New(l Loop, d Dispatcher, pool *buffer.Pool, site *settings.Site, maxConns int, log, rules logrus.FieldLogger) *Server {
 	s := &Server{loop: l, dispatcher: d, pool: pool, site: site, classes: map[string]int{}, maxConns: maxConns,
-		log: logs.Thinned{Log: log}}
+		log: logs.Thinned{Log: log}, rulesLog: logs.Thinned{Log: rules}}
 	for i, name := range site.ClassNames {
 		s.classes[name] = i
 	}
@@ -385,7 +388,11 @@
 		return
 	}
 	st.named = true
-	f, err := parseFields(st.params.B)
+	var slots map[string]int
+	if s.rules != nil {
+		slots = s.rules.slots
+	}
+	f, err := parseFields(st.params.B, slots)
 	s.pool.Put(st.params)
 	st.params = nil
 	if err != nil {
@@ -396,9 +403,14 @@
 	if f.path == healthPath {
 		return
 	}
+	affinity, route := "", ""
+	if s.rules != nil {
+		affinity, route = s.decide(&f, st.conn)
+	}
 	if st.call, err = f.call(s.site, s.classes); err != nil {
 		st.reject(http.StatusBadRequest, err)
 	}
+	st.call.Affinity, st.call.Route = affinity, route
 }
 
 const healthPath = "/health"
--- a/internal/lab/gossip.go
+++ b/internal/lab/gossip.go
@@ -45,7 +45,7 @@
 	Notice         float64 `json:"notice_ms"`
 	NoticeAlone    float64 `json:"notice_ms_alone"`
 	CPUFlooded     float64 `json:"cpu_share_flooded"`   // of a core, more than without the flood
-	MemoryFlooded  int     `json:"memory_kb_flooded"`   // grown during the flood
+	MemoryFlooded  int     `json:"memory_kb_flooded"`   // grown during the second half of the flood
 	CPU            float64 `json:"cpu_share_unflooded"` // of a core, of the same instance without load
 	UnheardOfLiars int     `json:"instances_that_unheard_liars"`
 }
@@ -322,15 +322,17 @@
 		return (in.CPU() - before).Seconds() / time.Since(at).Seconds()
 	}
 	calm := measure()
-	held := in.Memory()
 	stop, ended := make(chan struct{}), make(chan error, 1)
 	go func() { ended <- Flood(in.Gossip, 5000, stop) }()
 	flooded := measure()
+	held := in.Memory()
+	flooded = (flooded + measure()) / 2
+	grown := in.Memory() - held
 	close(stop)
 	if err := <-ended; err != nil {
 		return c, err
 	}
-	c.cpu, c.calm, c.grown = flooded-calm, calm, in.Memory()-held
+	c.cpu, c.calm, c.grown = flooded-calm, calm, grown
 	d.Say(fmt.Sprintf("%-20s %.3f of a core, %.3f without it; %d kB more", "flood of 5,000/s", flooded, calm, c.grown))
 	for _, o := range f.Instances {
 		for _, l := range o.Log.Lines() {
--- a/internal/lab/hostile.go
+++ b/internal/lab/hostile.go
@@ -72,7 +72,11 @@
 
 func (h *Hostile) run() {
 	defer close(h.done)
-	in := make(chan gossip.Received)
+	type datagram struct {
+		from netip.AddrPort
+		b    []byte
+	}
+	in := make(chan datagram)
 	go func() {
 		defer close(in)
 		buf := make([]byte, gossip.MaxDatagram)
@@ -81,12 +85,8 @@
 			if err != nil {
 				return
 			}
-			o, err := h.guard.Open(h.now(), time.Now(), from, append([]byte(nil), buf[:n]...))
-			if err != nil {
-				continue
-			}
 			select {
-			case in <- gossip.Received{From: o.From, Addr: from, Epoch: o.Epoch, Message: o.Message, Trusted: o.Trusted}:
+			case in <- datagram{from, append([]byte(nil), buf[:n]...)}:
 			case <-h.quit:
 				return
 			}
@@ -98,11 +98,14 @@
 	for {
 		var events []gossip.Event
 		select {
-		case e, ok := <-in:
+		case d, ok := <-in:
 			if !ok {
 				return
 			}
-			events = append(events, e)
+			if o, err := h.guard.Open(h.now(), time.Now(), d.from, d.b); err == nil {
+				events = append(events, gossip.Received{From: o.From, Addr: d.from, Epoch: o.Epoch, Message: o.Message,
+					Trusted: o.Trusted})
+			}
 		case <-tick.C:
 			if list := h.accuse.Load(); list != nil && time.Since(said) > 300*time.Millisecond {
 				said = time.Now()
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -60,8 +60,10 @@
 	return l.WithField("part", name)
 }
 
-// every is how often Thinned lets a message through.
-const every = time.Second
+const (
+	every = time.Second // how often Thinned lets a message through
+	most  = 1000        // different messages that are kept apart
+)
 
 // Thinned lets each message through once a second at most and counts the others. It is not safe for concurrent
 // use.
@@ -77,6 +79,9 @@
 
 // Warn logs a message, with the number of those left out since the last as "more".
 func (t *Thinned) Warn(now time.Duration, message string, err error) {
+	if len(t.last) >= most {
+		clear(t.last)
+	}
 	k, seen := t.last[message]
 	if seen && now-k.at < every {
 		k.more++
--- /dev/null
+++ b/internal/match/schema.go
@@ -0,0 +1,113 @@
+// Package match decides a request's class, affinity key, route and labels by rules that operators write.
+//
+// A rule is a condition and what follows from it, in a small typed language (expr-lang/expr, cut down). All is
+// decided at load: types, the fields that exist, the worst cost of each expression and of the whole table. What
+// passes has no loops and runs within its cost, whatever a request holds. Nothing here does I/O or reads a clock.
+package match
+
+import (
+	"hash/fnv"
+	"time"
+)
+
+// Field declares one field of a request that expressions may read.
+type Field struct {
+	Name string
+	Type string // as operators read it
+	Most int    // longest text, in bytes; 0 where it is no text
+	Help string
+}
+
+// The longest texts that expressions see. A request with a longer one is seen without it: the field is missing.
+const (
+	mostClass  = 64
+	mostFn     = 16
+	mostPath   = 256
+	mostMethod = 16
+	mostName   = 64
+	mostValue  = 256
+	mostClient = 45
+)
+
+// Schema is every field, in the order of the operators' page.
+var Schema = []Field{
+	{"class", "text", mostClass, "the class that the client asks for; empty if it names none"},
+	{"handler", "text", mostFn, "the function"},
+	{"path", "text", mostPath, "the whole path, as in /rpc/consulta"},
+	{"method", "text", mostMethod, "REQUEST_METHOD; empty if not told"},
+	{"param", "texts by name", mostValue, `further parameters: param["HTTP_X_CENTRE"]. "HTTP_X_CENTRE" in param tells whether there is one; reading one that is missing is a fault`},
+	{"budget", "duration", 0, `how long the client waits, as in duration("500ms")`},
+	{"body", "number", 0, "bytes of the body, as far as CONTENT_LENGTH tells; 0 if it doesn't"},
+	{"keyed", "truth", 0, "whether there is an idempotency key"},
+	{"client", "text", mostClient, "the client's IP address"},
+	{"memory_mb", "number", 0, "memory of a loaded copy; 0 if not told"},
+	{"lanes", "number", 0, "requests that a copy runs at a time; 0 if not told"},
+	{"hour", "number", 0, "local time: 0 to 23"},
+	{"minute", "number", 0, "0 to 59"},
+	{"weekday", "number", 0, "0 (Sunday) to 6"},
+	{"share", "number", 0, "0 to 999, the same for all tries under one idempotency key"},
+}
+
+// Request is what expressions see of a request.
+type Request struct {
+	Class, Handler, Path, Method, Client, OnceKey string
+	Budget                                        time.Duration
+	Body                                          int
+	Memory                                        float64
+	Lanes                                         int
+	Local                                         time.Time
+	// Params is by slot: see Table.Slots. A nil element is a parameter that is missing.
+	Params [][]string
+}
+
+// env is a Request as expressions read it. The names that end in _ are what param[...] is turned into.
+type env struct {
+	Class    string            `expr:"class"`
+	Handler  string            `expr:"handler"`
+	Path     string            `expr:"path"`
+	Method   string            `expr:"method"`
+	Budget   time.Duration     `expr:"budget"`
+	Body     int               `expr:"body"`
+	Keyed    bool              `expr:"keyed"`
+	Client   string            `expr:"client"`
+	MemoryMB float64           `expr:"memory_mb"`
+	Lanes    int               `expr:"lanes"`
+	Hour     int               `expr:"hour"`
+	Minute   int               `expr:"minute"`
+	Weekday  int               `expr:"weekday"`
+	Share    int               `expr:"share"`
+	Param    map[string]string `expr:"param"` // declared for its type; always turned into a slot
+	Slots    [][]string        `expr:"slots_"`
+	Has      []bool            `expr:"has_"`
+}
+
+func capped(s string, most int) string {
+	if len(s) > most {
+		return ""
+	}
+	return s
+}
+
+// share is a stable number from 0 to 999 for a key.
+func share(key string) int {
+	h := fnv.New64a()
+	h.Write([]byte(key))
+	x := h.Sum64()
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	return int((x ^ x>>27) % 1000)
+}
+
+func (t *Table) env(q *Request) *env {
+	e := &t.scratch
+	*e = env{Class: capped(q.Class, mostClass), Handler: capped(q.Handler, mostFn), Path: capped(q.Path, mostPath),
+		Method: capped(q.Method, mostMethod), Budget: q.Budget, Body: q.Body, Keyed: q.OnceKey != "",
+		Client: capped(q.Client, mostClient), MemoryMB: q.Memory, Lanes: q.Lanes, Hour: q.Local.Hour(),
+		Minute: q.Local.Minute(), Weekday: int(q.Local.Weekday()), Share: share(q.OnceKey), Slots: e.Slots, Has: e.Has}
+	for i := range e.Slots {
+		e.Slots[i], e.Has[i] = nil, false
+		if i < len(q.Params) && len(q.Params[i]) > 0 && len(q.Params[i][0]) <= mostValue {
+			e.Slots[i], e.Has[i] = q.Params[i], true
+		}
+	}
+	return e
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -144,6 +144,9 @@
 			if text == "" {
 				continue
 			}
+			if len(d.Args) > 1 && !d.Args[1].Optional {
+				text, _, _ = strings.Cut(text, " ")
+			}
 			if _, err := d.Args[0].read(word{text: text}, ""); err != nil {
 				t.Errorf("%s: default or example: %v", d.Name, err)
 			}
@@ -173,3 +176,48 @@
 		}
 	})
 }
+
+// Sections with names, and expressions to the end of the line, with quotes and comments.
+func TestRules(t *testing.T) {
+	dir := files(t, map[string]string{"a.conf": `match one
+    when   handler.startsWith("a # b") && 'x"y' != path # a comment
+    class  certificado
+    label  centre param["A"] + "#"
+    stop
+match two
+`, "b.conf": "match\nmatch a b\nmatch a/b\nmatch a\nmatch a\n  stop now\n  label x\n  when handlr == 1\n  key \"a\" + 1\n"})
+	got, err := Read(filepath.Join(dir, "a.conf"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	one := got.Rules[0]
+	if len(got.Rules) != 2 || one.When.Source != `handler.startsWith("a # b") && 'x"y' != path` || one.When.Column != 12 ||
+		one.Class.Source != "certificado" || len(one.Labels) != 1 || one.Labels[0].Value.Source != `param["A"] + "#"` ||
+		one.Labels[0].Value.Column != 19 || !one.Stop || got.Rules[1].Name != "two" || got.Rules[1].Stop {
+		t.Errorf("rules %+v", got.Rules)
+	}
+	_, err = Read(filepath.Join(dir, "b.conf"))
+	want := []string{
+		"b.conf:1:1: section match needs a name: match RULE",
+		"b.conf:2:1: section match needs a name: match RULE",
+		"b.conf:3:7: section match: \"a/b\" is no word: letters, digits, '-', '_' and '.', 64 at most",
+		"b.conf:5:1: section match a began in b.conf:4 already",
+		`b.conf:6:8: stop: "now" is too much: it takes stop`,
+		"b.conf:7:3: label: VALUE is missing: an expression of up to 2048 bytes, to the end of the line",
+	}
+	if d := cmp.Diff(want, strings.Split(strings.ReplaceAll(err.Error(), dir+"/", ""), "\n")); d != "" {
+		t.Error(d)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "c.conf"), []byte("match a\n  when handlr == 1\n  key \"a\" + 1\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	set, err := Read(filepath.Join(dir, "c.conf"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _, err = set.Compile(nil)
+	var faults Faults
+	if !errors.As(err, &faults) || len(faults) != 2 || faults[0].Line != 2 || faults[0].Column != 8 || faults[1].Line != 3 || faults[1].Column != 11 {
+		t.Errorf("faults %v", err)
+	}
+}
--- a/internal/operator/parse.go
+++ b/internal/operator/parse.go
@@ -11,6 +11,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net/netip"
 	"os"
@@ -27,6 +28,7 @@
 	maxFile     = 1 << 20 // bytes of one file
 	maxIncludes = 16      // files within one another
 	maxFiles    = 64      // files in all
+	maxExpr     = 2048    // bytes of an expression
 	maxFaults   = 100     // that are told of; a file of another kind would bring thousands
 	nearest     = 2       // changed letters up to which a known word is offered for an unknown one
 )
@@ -72,15 +74,16 @@
 
 // File is a file that was read, with those that it includes.
 type File struct {
-	sections map[string]map[string][]Entry
-	where    map[string]Fault // where each section begins
+	sections map[string]map[string][]Entry // by section and directive; a section with a name stands as "match a"
+	where    map[string]Fault              // where each section begins
+	names    map[string][]string           // of the sections of a kind, in the order in which they stand
 	faults   Faults
 	read     int // files so far
 }
 
 // Parse reads a file and those that it includes. The error is Faults, and covers all of them.
 func Parse(path string) (*File, error) {
-	f := &File{sections: map[string]map[string][]Entry{}, where: map[string]Fault{}}
+	f := &File{sections: map[string]map[string][]Entry{}, where: map[string]Fault{}, names: map[string][]string{}}
 	f.include(path, Fault{File: path}, nil)
 	f.missing()
 	if len(f.faults) > 0 {
@@ -126,7 +129,7 @@
 	for line := range strings.SplitSeq(string(text), "\n") {
 		n++
 		at := Fault{File: path, Line: n}
-		words, err := split(strings.TrimSuffix(line, "\r"))
+		words, err := words(section, strings.TrimSuffix(line, "\r"))
 		if err != nil {
 			at.Column = err.column
 			f.fault(at, "%s", err.reason)
@@ -156,8 +159,30 @@
 func (f *File) begin(words []word, at Fault) string {
 	name := words[0].text
 	known := slices.ContainsFunc(Sections, func(s Section) bool { return s.Name == name })
+	if known && len(words) == 2 && kindOf(name).Named != "" {
+		own := words[1]
+		if _, err := (Arg{Type: Word}).read(own, at.File); err != nil {
+			at.Column = own.column
+			f.fault(at, "section %s: %v", name, err)
+			return "?"
+		}
+		full := name + " " + own.text
+		if before, twice := f.where[full]; twice {
+			f.fault(at, "section %s began in %s:%d already", full, before.File, before.Line)
+		} else {
+			f.names[name] = append(f.names[name], own.text)
+		}
+		f.where[full] = at
+		if f.sections[full] == nil {
+			f.sections[full] = map[string][]Entry{}
+		}
+		return full
+	}
 	before, twice := f.where[name]
 	switch {
+	case known && kindOf(name).Named != "":
+		f.fault(at, "section %s needs a name: %s %s", name, name, kindOf(name).Named)
+		return "?"
 	case !known:
 		names := []string{"include"}
 		for _, s := range Sections {
@@ -188,15 +213,16 @@
 	if section == "?" {
 		return // told of already
 	}
-	d, ok := Lookup(section, name)
+	kind, _, _ := strings.Cut(section, " ")
+	d, ok := Lookup(kind, name)
 	if !ok {
 		var names []string
 		for _, d := range Directives {
-			if d.Section == section {
+			if d.Section == kind {
 				names = append(names, d.Name)
 			}
 		}
-		f.fault(at, "section %s has no such directive%s", section, offer(name, names))
+		f.fault(at, "section %s has no such directive%s", kind, offer(name, names))
 		return
 	}
 	entries := f.sections[section][name]
@@ -233,11 +259,17 @@
 // missing tells of sections without what they need.
 func (f *File) missing() {
 	for _, d := range Directives {
-		at, begun := f.where[d.Section]
-		spoilt := slices.ContainsFunc(f.faults, func(o Fault) bool { return o.Directive == d.Name })
-		if begun && d.Required && len(f.sections[d.Section][d.Name]) == 0 && !spoilt {
-			at.Directive = d.Name
-			f.fault(at, "section %s needs it: %s", d.Section, d.usage())
+		if !d.Required {
+			continue
+		}
+		for _, section := range slices.Sorted(maps.Keys(f.where)) {
+			kind, _, _ := strings.Cut(section, " ")
+			spoilt := slices.ContainsFunc(f.faults, func(o Fault) bool { return o.Directive == d.Name })
+			if kind == d.Section && len(f.sections[section][d.Name]) == 0 && !spoilt {
+				at := f.where[section]
+				at.Directive = d.Name
+				f.fault(at, "section %s needs it: %s", section, d.usage())
+			}
 		}
 	}
 }
@@ -253,40 +285,87 @@
 	reason string
 }
 
-// split takes a line apart.
-func split(line string) ([]word, *badLine) {
-	var words []word
-	for i := 0; i < len(line); {
+func kindOf(section string) Section {
+	return Sections[slices.IndexFunc(Sections, func(s Section) bool { return s.Name == section })]
+}
+
+// words takes a line of a section apart. Where a directive takes an expression, that is one word and goes on to the
+// end of the line, or to a comment outside its quotes.
+func words(section, line string) ([]word, *badLine) {
+	kind, _, _ := strings.Cut(section, " ")
+	first, _, err := split(line, 1)
+	if err == nil && len(first) == 1 && first[0].column > 1 {
+		if d, ok := Lookup(kind, first[0].text); ok {
+			if i := slices.IndexFunc(d.Args, func(a Arg) bool { return a.Type == Expr }); i >= 0 {
+				head, rest, err := split(line, 1+i)
+				if err != nil || len(head) <= i {
+					return head, err
+				}
+				text := uncomment(line[rest:])
+				lead := len(text) - len(strings.TrimLeft(text, " \t"))
+				if text = strings.TrimSpace(text); text != "" {
+					head = append(head, word{text, rest + lead + 1})
+				}
+				return head, nil
+			}
+		}
+	}
+	all, _, err := split(line, math.MaxInt)
+	return all, err
+}
+
+// uncomment cuts a comment off an expression.
+func uncomment(s string) string {
+	var quote byte
+	for i := 0; i < len(s); i++ {
+		switch {
+		case quote != 0 && s[i] == '\\':
+			i++
+		case quote != 0 && s[i] == quote:
+			quote = 0
+		case quote == 0 && (s[i] == '"' || s[i] == '\''):
+			quote = s[i]
+		case quote == 0 && s[i] == '#':
+			return s[:i]
+		}
+	}
+	return s
+}
+
+// split takes the first words of a line, and tells where the rest begins.
+func split(line string, most int) (words []word, rest int, bad *badLine) {
+	i := 0
+	for i < len(line) && len(words) < most {
 		switch c := line[i]; {
 		case c == ' ' || c == '\t':
 			i++
 		case c == '#':
-			return words, nil
+			return words, len(line), nil
 		case c == '"':
 			text, n := unquote(line[i:])
 			if n == 0 {
-				return nil, &badLine{i + 1, "a quoted word does not end"}
+				return nil, 0, &badLine{i + 1, "a quoted word does not end"}
 			}
 			if end := i + n; end < len(line) && !strings.ContainsRune(" \t#", rune(line[end])) {
-				return nil, &badLine{end + 1, "a blank must follow a quoted word"}
+				return nil, 0, &badLine{end + 1, "a blank must follow a quoted word"}
 			}
 			words = append(words, word{text, i + 1})
 			i += n
 		case c < ' ' || c == 0x7f:
-			return nil, &badLine{i + 1, fmt.Sprintf("the character %q has no place here", c)}
+			return nil, 0, &badLine{i + 1, fmt.Sprintf("the character %q has no place here", c)}
 		default:
 			end := i
 			for end < len(line) && line[end] > ' ' && line[end] != '"' && line[end] != '#' && line[end] != 0x7f {
 				end++
 			}
 			if end < len(line) && line[end] == '"' {
-				return nil, &badLine{end + 1, "a blank must stand before a quoted word"}
+				return nil, 0, &badLine{end + 1, "a blank must stand before a quoted word"}
 			}
 			words = append(words, word{line[i:end], i + 1})
 			i = end
 		}
 	}
-	return words, nil
+	return words, i, nil
 }
 
 // unquote reads the quoted word that a text begins with and tells how many bytes it takes, 0 if it does not end.
@@ -354,6 +433,10 @@
 		v.text = beside(file, w.text)
 	case Duration, Size, Count, Share:
 		return a.number(v, bad)
+	case Expr:
+		if len(w.text) > maxExpr {
+			return v, fmt.Errorf("%d bytes are over the %d that an expression may have", len(w.text), maxExpr)
+		}
 	case Text:
 	}
 	return v, nil
@@ -401,6 +484,8 @@
 		return "an IP address and a port, as in 127.0.0.1:7946"
 	case Path:
 		return "the name of a file"
+	case Expr:
+		return fmt.Sprintf("an expression of up to %d bytes, to the end of the line", maxExpr)
 	case Word:
 		return "letters, digits, '-', '_' and '.', 64 at most"
 	default:
--- a/internal/operator/print.go
+++ b/internal/operator/print.go
@@ -18,10 +18,10 @@
 	for _, s := range Sections {
 		fmt.Fprintf(&b, "\n%s", comment(s.Help, ""))
 		margin := ""
-		if needsChoice(s.Name) {
+		if needsChoice(s.Name) || s.Named != "" {
 			margin = "#"
 		}
-		fmt.Fprintf(&b, "%s%s\n", margin, s.Name)
+		fmt.Fprintf(&b, "%s%s\n", margin, s.title())
 		for _, d := range Directives {
 			if d.Section != s.Name {
 				continue
@@ -30,13 +30,15 @@
 			if d.Default != "" {
 				fmt.Fprintf(&b, "%s    %s %s\n", margin, d.Name, d.Default)
 			} else {
-				fmt.Fprintf(&b, "#    %s %s\n", d.Name, d.Example)
+				b.WriteString(strings.TrimRight(fmt.Sprintf("#    %s %s", d.Name, d.Example), " ") + "\n")
 			}
 		}
 	}
 	return b.String()
 }
 
+func (s Section) title() string { return strings.TrimSpace(s.Name + " " + s.Named) }
+
 // needsChoice reports whether a section has directives that nobody can choose for the operator.
 func needsChoice(section string) bool {
 	for _, d := range Directives {
@@ -85,7 +87,7 @@
 		"is one. On SIGHUP the file is read again whole; with a fault in it all stays as it was, with a log line for\n" +
 		"each fault.\n")
 	for _, s := range Sections {
-		fmt.Fprintf(&b, "\n## %s\n\n%s\n\n| directive | default | reload | meaning |\n| --- | --- | --- | --- |\n", s.Name, s.Help)
+		fmt.Fprintf(&b, "\n## %s\n\n%s\n\n| directive | default | reload | meaning |\n| --- | --- | --- | --- |\n", s.title(), s.Help)
 		for _, d := range Directives {
 			if d.Section != s.Name {
 				continue
--- a/internal/operator/settings.go
+++ b/internal/operator/settings.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"os"
 	"time"
+
+	"calicohill/internal/match"
 )
 
 // Settings is what an operator's file says. The zero Settings are those of no file, but for the levels of logging,
@@ -13,6 +15,7 @@
 type Settings struct {
 	Log    Log
 	Gossip *Gossip // nil where the section is missing: it is off
+	Rules  []match.Rule
 }
 
 // Log is the section log.
@@ -61,12 +64,55 @@
 	if f.Has("gossip") {
 		s.Gossip = f.gossip()
 	}
+	for _, name := range f.names["match"] {
+		s.Rules = append(s.Rules, f.rule(name))
+	}
 	if len(f.faults) > 0 {
 		return nil, f.faults
 	}
 	return s, nil
 }
 
+// rule is a rule as it stands in a file. Whether it makes sense is for match.Load to say.
+func (f *File) rule(name string) match.Rule {
+	section := "match " + name
+	place := func(e Entry, i int) match.Text {
+		return match.Text{Place: match.Place{File: e.File, Line: e.Line, Column: e.values[i].column}, Source: e.values[i].text}
+	}
+	only := func(directive string) (t match.Text) {
+		if e := f.sections[section][directive]; len(e) > 0 {
+			t = place(e[0], 0)
+		}
+		return t
+	}
+	at := f.where[section]
+	r := match.Rule{Place: match.Place{File: at.File, Line: at.Line, Column: at.Column}, Name: name, When: only("when"),
+		Class: only("class"), Key: only("key"), Route: only("route"), Stop: len(f.sections[section]["stop"]) > 0}
+	for _, e := range f.sections[section]["label"] {
+		r.Labels = append(r.Labels, match.Label{Name: e.values[0].text, Value: place(e, 1)})
+	}
+	return r
+}
+
+// Compile loads the rules of a file for the classes of a site; nil where those are not known. The error is Faults;
+// warnings are returned beside the table.
+func (s *Settings) Compile(classes []match.Class) (*match.Table, Faults, error) {
+	t, found := match.Load(s.Rules, classes)
+	var warnings, faults Faults
+	for _, f := range found {
+		one := Fault{File: f.File, Line: f.Line, Column: f.Column, Directive: f.Directive, Reason: f.Reason}
+		if f.Warning {
+			warnings = append(warnings, one)
+		} else {
+			faults = append(faults, one)
+		}
+	}
+	if t == nil {
+		return nil, warnings, faults
+	}
+	return t, warnings, nil
+}
+
 func (f *File) gossip() *Gossip {
 	g := &Gossip{
 		Listen: address(f.String("gossip", "listen")), Fleet: f.String("gossip", "fleet"),
--- a/internal/operator/table.go
+++ b/internal/operator/table.go
@@ -16,9 +16,10 @@
 	Share                // a number followed by %
 	Address              // host:port, the host an IP address
 	Path                 // the name of a file, taken from the folder of the file that it stands in
+	Expr                 // the rest of the line, an expression
 )
 
-var typeNames = [...]string{"word", "text", "choice", "duration", "size", "count", "share", "address", "path"}
+var typeNames = [...]string{"word", "text", "choice", "duration", "size", "count", "share", "address", "path", "expression"}
 
 func (t Type) String() string { return typeNames[t] }
 
@@ -47,21 +48,25 @@
 
 // Section declares a kind of section.
 type Section struct {
-	Name string
-	Help string
+	Name  string
+	Named string // what its own name stands for, as in "match NAME"; "" where it has none and may stand only once
+	Help  string
 }
 
-// Sections is every section that a file may hold, in the order of the example. Each may stand once.
+// Sections is every section that a file may hold, in the order of the example.
 var Sections = []Section{
-	{"log", "What is written to standard error, and how."},
-	{"gossip", "Shared suspicions: talk to other schedulers of the fleet about workers that seem ill. Without this\n" +
+	{"log", "", "What is written to standard error, and how."},
+	{"gossip", "", "Shared suspicions: talk to other schedulers of the fleet about workers that seem ill. Without this\n" +
 		"section nothing is sent, no socket is opened and no key is read."},
+	{"match", "RULE", "A rule that decides a request's class, affinity key, route and labels. Rules are tried in the order in\n" +
+		"which they stand; each of these is given by the first rule that matches and gives it. Without rules a\n" +
+		"request's class is the last word of its path, and its affinity key its function."},
 }
 
 var levels = []string{"debug", "info", "warning", "error"}
 
 // Parts are the parts of the program that log lines name, and whose level can be set by itself.
-var Parts = []string{"scheduler", "agent", "bulletin", "clients", "gossip"}
+var Parts = []string{"scheduler", "agent", "bulletin", "clients", "gossip", "rules"}
 
 // Directives is every directive, in the order of the example.
 var Directives = []Directive{
@@ -117,6 +122,20 @@
 		Help: "The most of the listed workers that are left out on the word of peers. 0% listens and does nothing."},
 	{Section: "gossip", Name: "forget-after", Args: []Arg{{Name: "TIME", Type: Duration, Least: 1, Most: 300}},
 		Default: "10s", Reload: true, Help: "How long an accusation counts that is not said again."},
+
+	{Section: "match", Name: "when", Args: []Arg{{Name: "CONDITION", Type: Expr}}, Reload: true,
+		Example: `handler.startsWith("7f") && budget >= duration("500ms")`,
+		Help: "What must hold for the rule to match; without it it always does. A condition that can't be evaluated,\n" +
+			"as one that reads a parameter which is missing, does not hold."},
+	{Section: "match", Name: "class", Args: []Arg{{Name: "CLASS", Type: Expr}}, Reload: true, Example: `certificado`,
+		Help: "The class: its name, or an expression. It must be as strict about repeats as the one asked for, or more."},
+	{Section: "match", Name: "key", Args: []Arg{{Name: "KEY", Type: Expr}}, Reload: true, Example: `handler + ":" + param["HTTP_X_CENTRE"]`,
+		Help: "The affinity key: requests of one key go to the same few workers. What is run stays the function."},
+	{Section: "match", Name: "route", Args: []Arg{{Name: "ROUTE", Type: Expr}}, Reload: true, Example: `slow-lane`,
+		Help: "The route: its name, or an expression. It is kept with the request and logged."},
+	{Section: "match", Name: "label", Args: []Arg{{Name: "NAME", Type: Word}, {Name: "VALUE", Type: Expr}}, Repeated: true, Reload: true,
+		Example: `centre param["HTTP_X_CENTRE"]`, Help: "A label of the request."},
+	{Section: "match", Name: "stop", Reload: true, Help: "No further rule is tried once this one has matched."},
 }
 
 // Lookup finds a directive of a section.
