Write the counts of rules to a status file; measure rules in the laboratory

Need: counts that a program can read, and what rules cost through a scheduler.

SIGUSR1 writes the counts as JSON where the operator's file names a file, off the event loop, whole or not at all. lab match measures evaluations by number of rules, plain and hostile, and requests through a scheduler with and without rules.

--- a/cmd/calicohill/match_test.go
+++ b/cmd/calicohill/match_test.go
@@ -43,7 +43,8 @@
 
 // Rules decide the class that a worker is told; what runs stays the function. None makes a call less strict.
 func TestRules(t *testing.T) {
-	s, a := withRules(t, "log\n  level debug rules\n"+someRules, echo)
+	status := filepath.Join(t.TempDir(), "status.json")
+	s, a := withRules(t, "log\n  level debug rules\n  status "+status+"\n"+someRules, echo)
 	f := s.front()
 	for _, c := range []struct {
 		path, function, centre string
@@ -80,9 +81,14 @@
 	if err := s.cmd.Process.Signal(syscall.SIGUSR1); err != nil {
 		t.Fatal(err)
 	}
-	until(t, "counts are logged", func() bool {
-		return strings.Contains(s.log.String(), "failed=0 matched=1 msg=\"rule so far\"") || strings.Count(s.log.String(), "rule so far") == 4
-	})
+	until(t, "counts are logged", func() bool { return strings.Count(s.log.String(), "rule so far") == 4 })
+	text, err := os.ReadFile(status)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := `{"rule":"lax","tried":1,"matched":0,"failed":1,`; !strings.Contains(string(text), want) {
+		t.Errorf("the status file lacks %s: %s", want, text)
+	}
 }
 
 // Under traffic rules come and go by reload; a bad file changes nothing, and each call has met one set of rules.
--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -145,6 +147,8 @@
 	// Told before anything is served: a SIGHUP that nobody heeds ends the program.
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGTERM, os.Interrupt)
+	var status atomic.Value // the file that counts are written to
+	status.Store(own.Log.Status)
 	reload := func(os.Signal) {
 		// Of the platform's file only the address of the bulletin is taken: what is out, and all that was learned,
 		// stands. A file that cannot be used changes nothing, or a slip of the pen would end a good scheduler.
@@ -177,6 +181,7 @@
 			log.WithError(err).Error("configuration not read again: the old one stands")
 			return
 		}
+		status.Store(nextOwn.Log.Status)
 		l.Post(func() {
 			watch.Move(next.Bulletin)
 			server.Use(fastcgi.NewRules(table))
@@ -190,7 +195,12 @@
 		if peers != nil {
 			peers.Run()
 		}
-		report := func() { l.Post(func() { reportRules(parts.Part("rules"), server.Rules()) }) }
+		report := func() {
+			l.Post(func() {
+				counts := server.Rules().Counts()
+				go reportRules(parts.Part("rules"), counts, status.Load().(string))
+			})
+		}
 		go heed(signals, l, reload, report, func(s os.Signal) {
 			if !draining {
 				draining = true
@@ -219,9 +229,21 @@
 	return list
 }
 
-// reportRules logs what became of each rule so far.
-func reportRules(log *logrus.Entry, rules *fastcgi.Rules) {
-	for _, c := range rules.Counts() {
+// reportRules logs what became of each rule so far, and writes it to a file if one is named. It must not be called on
+// the loop, which does not wait for disks.
+func reportRules(log *logrus.Entry, counts []match.Count, file string) {
+	if file != "" {
+		text, err := json.Marshal(map[string]any{"at": time.Now().UTC(), "rules": counts})
+		if err == nil {
+			if err = os.WriteFile(file+".new", append(text, '\n'), 0o644); err == nil {
+				err = os.Rename(file+".new", file)
+			}
+		}
+		if err != nil {
+			log.WithError(err).Error("status not written")
+		}
+	}
+	for _, c := range counts {
 		log.WithFields(logrus.Fields{"rule": c.Rule, "tried": c.Tried, "matched": c.Matched, "failed": c.Failed, "cost": c.Cost}).
 			Info("rule so far")
 	}
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -21,7 +21,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "lab", Short: "The laboratory of calicohill", SilenceErrors: true, SilenceUsage: true}
-	root.AddCommand(gossipCommand())
+	root.AddCommand(gossipCommand(), matchCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "lab:", err)
 		stop()
@@ -88,6 +88,42 @@
 	return cmd
 }
 
+func matchCommand() *cobra.Command {
+	var d lab.MatchDay
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use: "match", Short: "What rules cost: an evaluation by itself, and requests through a scheduler",
+		Example: "  bin/lab match --rules 1000 --rate 1900 --hostile --json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if d.Rules < 1 || d.Rules > 10000 || d.Rate <= 0 || d.Seconds < 1 {
+				return errors.New("1 to 10000 rules, a rate and 1 second are needed")
+			}
+			var err error
+			if d.Program == "" {
+				if d.Program, err = lab.Beside(); err != nil {
+					return err
+				}
+			}
+			d.Say = func(line string) { fmt.Fprintln(cmd.ErrOrStderr(), line) }
+			r, err := d.Run(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return show(cmd.OutOrStdout(), asJSON, r)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&d.Program, "program", "", "the scheduler; the one beside this program if not set")
+	f.IntVar(&d.Rules, "rules", 1000, "rules in the operator's file")
+	f.Float64Var(&d.Rate, "rate", 190, "requests a second")
+	f.BoolVar(&d.Hostile, "hostile", false, "the longest legal texts, many parameters, near misses of prefixes")
+	f.Float64Var(&d.Seconds, "seconds", 8, "how long each run lasts")
+	f.Uint64Var(&d.Seed, "seed", 1, "of the load")
+	f.BoolVar(&asJSON, "json", false, "print one JSON object in a line")
+	return cmd
+}
+
 // show prints a result, as one line or for people.
 func show(out io.Writer, oneLine bool, result any) error {
 	e := json.NewEncoder(out)
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -16,11 +16,13 @@
 	Functions int
 	Skew      float64 // the instances' parts: instance i gets a part that falls with i; 0 means equal ones
 	Seed      uint64
+	Change    func(*fastcgi.Request) // what is made of each request before it goes; nil for nothing
 }
 
 // Tally counts what became of requests.
 type Tally struct {
-	Asked, Served, Refused, Failed, Lost int // Lost: no answer at all
+	Asked, Served, Refused, Failed, Lost int             // Lost: no answer at all
+	Times                                []time.Duration // of those that were answered
 }
 
 // Share is the share served.
@@ -90,14 +92,21 @@
 						}
 						x -= c.share
 					}
-					fire(fastcgi.Request{Path: "/rpc/" + class, ID: fmt.Sprintf("%04x%012x", i, rng.Uint64()&(1<<48-1)),
+					q := fastcgi.Request{Path: "/rpc/" + class, ID: fmt.Sprintf("%04x%012x", i, rng.Uint64()&(1<<48-1)),
 						Function: fmt.Sprintf("%016x", zipf.Uint64()+1), OnceKey: fmt.Sprintf("%04x%016x", i, rng.Uint64()),
-						Budget: 2 * time.Second, Spec: "memory_mb:512;lanes:4", Body: []byte(in.Name + " asks")})
+						Budget: 2 * time.Second, Spec: "memory_mb:512;lanes:4", Body: []byte(in.Name + " asks")}
+					if l.Change != nil {
+						l.Change(&q)
+					}
+					fire(q)
 				}
-			}, func(r fastcgi.Reply, err error) {
+			}, func(r fastcgi.Reply, err error, took time.Duration) {
 				mu.Lock()
 				defer mu.Unlock()
 				all.Asked++
+				if err == nil {
+					all.Times = append(all.Times, took)
+				}
 				switch {
 				case err != nil:
 					all.Lost++
@@ -116,7 +125,7 @@
 }
 
 // front sends what offer fires to an instance, over as many connections as that takes.
-func (f *Fleet) front(ctx context.Context, in *Instance, offer func(func(fastcgi.Request)), told func(fastcgi.Reply, error)) {
+func (f *Fleet) front(ctx context.Context, in *Instance, offer func(func(fastcgi.Request)), told func(fastcgi.Reply, error, time.Duration)) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var idle []*fastcgi.Client
@@ -140,12 +149,13 @@
 			var err error
 			if c == nil {
 				if c, err = fastcgi.Dial(ctx, in.Addr); err != nil {
-					told(fastcgi.Reply{}, err)
+					told(fastcgi.Reply{}, err, 0)
 					return
 				}
 			}
+			sent := time.Now()
 			r, err := c.Do(ctx, q)
-			if told(r, err); err != nil {
+			if told(r, err, time.Since(sent)); err != nil {
 				c.Close()
 				return
 			}
--- a/internal/match/match_test.go
+++ b/internal/match/match_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -350,3 +351,14 @@
 		}
 	}
 }
+
+// The operators' page has the schema as it is declared.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/matching.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), Fields()) {
+		t.Errorf("docs/operators/matching.md lacks the schema:\n%s", Fields())
+	}
+}
--- a/internal/match/table.go
+++ b/internal/match/table.go
@@ -69,9 +69,11 @@
 
 // Count is what became of one rule so far.
 type Count struct {
-	Rule                   string
-	Tried, Matched, Failed uint64
-	Cost                   uint64 // estimated, of what was evaluated
+	Rule    string `json:"rule"`
+	Tried   uint64 `json:"tried"`
+	Matched uint64 `json:"matched"`
+	Failed  uint64 `json:"failed"`
+	Cost    uint64 `json:"cost"` // estimated, of what was evaluated
 }
 
 type rule struct {
--- a/internal/operator/settings.go
+++ b/internal/operator/settings.go
@@ -20,9 +20,10 @@
 
 // Log is the section log.
 type Log struct {
-	JSON  bool
-	Level string            // of parts that Parts does not name
-	Parts map[string]string // level by part
+	JSON   bool
+	Status string            // file; "" if none
+	Level  string            // of parts that Parts does not name
+	Parts  map[string]string // level by part
 }
 
 // Gossip is the section gossip.
@@ -53,6 +54,7 @@
 		return nil, err
 	}
 	s := None()
+	s.Log.Status = f.String("log", "status")
 	s.Log.JSON = f.String("log", "format") == "json"
 	for _, e := range f.entries("log", "level") {
 		if len(e.values) == 2 {
--- a/internal/operator/table.go
+++ b/internal/operator/table.go
@@ -77,6 +77,8 @@
 			{Name: "PART", Type: Choice, Words: Parts, Optional: true}},
 		Default: "info", Repeated: true, Reload: true,
 		Help: "The least level that is written: of all parts, or of the one that is named."},
+	{Section: "log", Name: "status", Args: []Arg{{Name: "FILE", Type: Path}}, Example: "/run/calicohill/n1.json", Reload: true,
+		Help: "Where SIGUSR1 has the counts of all rules written, as a JSON object. They are logged too."},
 
 	{Section: "gossip", Name: "listen", Args: []Arg{{Name: "ADDRESS", Type: Address}},
 		Example: "127.0.0.1:7946", Required: true, Help: "The UDP address that messages of peers come to."},
--- a/internal/suspicion/suspicion_test.go
+++ b/internal/suspicion/suspicion_test.go
@@ -337,3 +337,24 @@
 	}
 	return names
 }
+
+// Different words to different peers gain nothing, and whoever is caught at it is not heard for a while.
+func TestEquivocation(t *testing.T) {
+	f := newFleet(t, 12, 3, 20)
+	for i := range 3 {
+		f.say(f.names[i], silent("w3"), "n5")
+		f.say(f.names[i], silent("w4"), "n6")
+	}
+	f.run(second)
+	for _, n := range []string{"n5", "n6"} {
+		for w, word := range f.words[n] {
+			if word == calicohill.Believed {
+				t.Errorf("%s believes that %s is ill", n, w)
+			}
+		}
+	}
+	f.step("n5", Lied{"n0"}, Lied{"n1"}, Lied{"n2"})
+	if len(f.words["n5"]) > 0 || len(f.told) != 3 {
+		t.Errorf("%v is still held, %v said", f.words["n5"], f.told)
+	}
+}
