Let routes name pools of workers, with others that stand in; split requests by share

Need: a route must mean something: a pool of workers by their entry in the list, what stands in for a pool that has nobody usable, and a part of the requests that goes another way.

- internal/pools, pure: conditions on workers, evaluated when the list changes; a live set for each route.
Properties: it never leaves the route's pools and is only without usable workers where all pools are.
- split ROUTE PART in a rule, by the stable hash of the key.

Tests on loopback: a pool that drains, empties, comes back and falls silent; nothing to a worker of no pool; a reload that takes the pools away.

--- a/api.go
+++ b/api.go
@@ -53,7 +53,7 @@
 	Fees          Fees
 	WeightsTold   bool // Worker.Weight means something
 	ClientsRepeat bool // clients mark their repeats
-	Peers         bool // Observe is heeded: other schedulers are told, and what they hold comes as PeersHold
+	Observed      bool // Observe is heeded: by other schedulers, whose word comes as PeersHold, or by routes
 }
 
 // keepAlive holds where none is told.
@@ -141,7 +141,7 @@
 }
 
 // Event is something that a Router is told. The concrete types are WorkerList, Request, StreamStart,
-// AttemptEnd, Abandoned, TimerFired, ProbeEnd, LoadEnd, PeerMessage and PeersHold.
+// AttemptEnd, Abandoned, TimerFired, ProbeEnd, LoadEnd, PeerMessage, PeersHold and PoolsChanged.
 type Event interface{ event() }
 
 // ListKind tells how to read a WorkerList.
@@ -194,8 +194,21 @@
 	Lanes    int           // requests that a copy runs at a time
 	LoadTime time.Duration // usual time of a load; 0 if unknown
 	Repeat   bool          // the client marked it as a repeat
+	Pool     *Pool         // workers that may have it; nil means all
 }
 
+// Pool is the workers that requests of a route may go to. All requests of one Function name one Pool. Whoever keeps
+// it may change Workers between two Steps, and tells the next by PoolsChanged.
+type Pool struct {
+	Workers map[string]bool // by id
+}
+
+// Has reports whether a worker belongs to a pool; every worker belongs to no pool.
+func (p *Pool) Has(worker string) bool { return p == nil || p.Workers[worker] }
+
+// PoolsChanged says that some Pool has other workers than before.
+type PoolsChanged struct{}
+
 // Outcome says how an attempt, a probe or an order to load ended.
 type Outcome int
 
@@ -315,19 +328,20 @@
 	Vouched []string // workers that a scheduler which found them ill has just had an answer from
 }
 
-func (WorkerList) event()  {}
-func (Request) event()     {}
-func (StreamStart) event() {}
-func (AttemptEnd) event()  {}
-func (Abandoned) event()   {}
-func (TimerFired) event()  {}
-func (ProbeEnd) event()    {}
-func (LoadEnd) event()     {}
-func (PeerMessage) event() {}
-func (PeersHold) event()   {}
+func (WorkerList) event()   {}
+func (Request) event()      {}
+func (StreamStart) event()  {}
+func (AttemptEnd) event()   {}
+func (Abandoned) event()    {}
+func (TimerFired) event()   {}
+func (ProbeEnd) event()     {}
+func (LoadEnd) event()      {}
+func (PeerMessage) event()  {}
+func (PeersHold) event()    {}
+func (PoolsChanged) event() {}
 
 // Action is something that a Router asks for, to be done in the order given. The concrete types are Send,
-// Cancel, Refuse, Fail, SetTimer, Probe, Load, Unload, Subscribe, FetchList and, where Settings.Peers, Observe.
+// Cancel, Refuse, Fail, SetTimer, Probe, Load, Unload, Subscribe, FetchList and, where Settings.Observed, Observe.
 type Action interface{ action() }
 
 // Send starts an attempt. The attempts of a request are numbered from 0 in the order of their Sends.
--- a/choice.go
+++ b/choice.go
@@ -84,7 +84,7 @@
 
 // load is how busy a worker is for its size, and pace how its latencies compare with those of all workers.
 func (r *Router) load(w *worker) float64 {
-	return (1 + float64(len(w.outs)) + w.others) * r.paceOf(w) / (r.size(w) * r.ripeness(w))
+	return (1 + float64(len(w.outs)) + w.others) * r.paceOf(w) / (w.Weight * r.ripeness(w))
 }
 
 func (r *Router) paceOf(w *worker) float64 {
@@ -98,7 +98,7 @@
 
 // fits reports whether a worker may be sent this request.
 func (r *Router) fits(q *request, w *worker) bool {
-	return r.usable(w) && r.maySend(q, w) && !q.failedAt(w) && !r.shuns(q, w)
+	return r.usable(w) && r.maySend(q, w) && !q.failedAt(w) && !r.shuns(q, w) && q.fn.pool.Has(w.ID)
 }
 
 // shuns reports whether a worker is not to have this request: it seems ill, and nothing could be tried after.
@@ -116,8 +116,10 @@
 // worker comes first for as many functions as its size warrants.
 func (r *Router) hashOrder(f *function) []*worker {
 	if f.version != r.version {
-		ready := slices.DeleteFunc(slices.Clone(r.list), func(w *worker) bool { return w.State != Ready })
-		of := func(w *worker) (string, float64) { return w.ID, r.size(w) }
+		ready := slices.DeleteFunc(slices.Clone(r.list), func(w *worker) bool {
+			return w.State != Ready || !f.pool.Has(w.ID)
+		})
+		of := func(w *worker) (string, float64) { return w.ID, w.Weight }
 		f.order = rendezvous.Order(f.name, ready, of)
 		f.version = r.version
 	}
@@ -162,7 +164,7 @@
 		f = &function{name: e.Function, lastCall: r.now}
 		r.funcs[e.Function] = f
 	}
-	f.class, f.lanes = e.Class, max(e.Lanes, 1)
+	f.class, f.lanes, f.pool = e.Class, max(e.Lanes, 1), e.Pool
 	f.told = cmp.Or(max(0, e.LoadTime), f.told)
 	f.calls, f.lastCall = f.calls*r.fade(f.lastCall)+1, r.now
 	r.allCalls, r.lastCall = r.allCalls*r.fade(r.lastCall)+1, r.now
--- a/cmd/calicohill/check.go
+++ b/cmd/calicohill/check.go
@@ -53,7 +53,7 @@
 				set, err := operator.Read(file)
 				if err == nil {
 					var warnings operator.Faults
-					if _, warnings, err = set.Compile(classes); len(warnings) > 0 {
+					if _, _, warnings, err = set.Compile(classes); len(warnings) > 0 {
 						fmt.Fprintf(out, "warning: %s\n", strings.ReplaceAll(warnings.Error(), "\n", "\nwarning: "))
 					}
 				}
--- a/cmd/calicohill/match.go
+++ b/cmd/calicohill/match.go
@@ -38,7 +38,7 @@
 	cmd := &cobra.Command{
 		Use: "match FILE", Short: "Tell what the rules of an operator's file make of requests",
 		Long: "Match evaluates the rules of a file for one request, or for each line of a file of JSON objects. Fields of a\n" +
-			"request are those that rules read (class, handler, path, method, client, once_key, budget, body, memory_mb,\n" +
+			"request are those that rules read (class, handler, path, method, client, id, once_key, budget, body, memory_mb,\n" +
 			"lanes, time); any other name is a parameter's. It ends with 1 where a rule is refused.",
 		Example: "  calicohill match calicohill.conf --request class=consulta,handler=7f3a9c21e0b4d655,HTTP_X_CENTRE=zona4\n" +
 			"  calicohill match calicohill.conf --config config.json --requests requests.jsonl --json",
@@ -61,7 +61,7 @@
 			if err != nil {
 				return err
 			}
-			table, warnings, err := set.Compile(classes)
+			table, _, warnings, err := set.Compile(classes)
 			if err != nil {
 				return err
 			}
@@ -132,7 +132,7 @@
 // requestOf makes a request of fields by name.
 func requestOf(fields map[string]string, slots []string) (*match.Request, error) {
 	q := &match.Request{Class: fields["class"], Handler: fields["handler"], Path: fields["path"], Method: fields["method"],
-		Client: fields["client"], OnceKey: fields["once_key"], Local: time.Now()}
+		Client: fields["client"], OnceKey: fields["once_key"], ID: fields["id"], Local: time.Now()}
 	if q.Path == "" && q.Class != "" {
 		q.Path = "/rpc/" + q.Class
 	}
--- a/cmd/calicohill/match_test.go
+++ b/cmd/calicohill/match_test.go
@@ -183,3 +183,91 @@
 		t.Errorf("check without the platform's file: %d %s", exit, fmt.Sprint(out))
 	}
 }
+
+const somePools = `match all
+    route lane
+pool fast
+    workers  id.startsWith("f") && model == "std"
+pool slow
+    workers  id.startsWith("s")
+route lane
+    pool fast
+    pool slow
+`
+
+// Requests of a route stay in its first pool as long as somebody there is usable, and in the next one otherwise; the
+// third worker belongs to none and is never asked.
+func TestPools(t *testing.T) {
+	var mute atomic.Bool
+	a := newAgent(t, func(n int, g goLine) string {
+		if mute.Load() {
+			return ""
+		}
+		return echo(n, g)
+	})
+	b, other := newAgent(t, echo), newAgent(t, echo)
+	s := newSite(t)
+	s.tell(true, "f SERVING "+a.addr, "s SERVING "+b.addr, "x SERVING "+other.addr)
+	s.operator = filepath.Join(t.TempDir(), "o.conf")
+	if err := os.WriteFile(s.operator, []byte(somePools), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f := s.start().front()
+	ask := func(i int) int {
+		f.send(call("consulta", "x", [2]string{"HTTP_RESOURCE_KEY", fmt.Sprintf("%016x", i)}, [2]string{"HTTP_BUDGET_MS", "1500"}))
+		return f.read().status
+	}
+	// goes asks for some functions and expects them all at one agent.
+	goes := func(to *nodeAgent, when string) {
+		t.Helper()
+		before := map[*nodeAgent]int{}
+		for _, n := range []*nodeAgent{a, b, other} {
+			before[n] = len(n.had())
+		}
+		for i := range 6 {
+			if got := ask(i); got != 200 {
+				t.Errorf("%s: status %d", when, got)
+			}
+		}
+		for _, n := range []*nodeAgent{a, b, other} {
+			if got := len(n.had()) - before[n]; (n == to) != (got == 6) || n != to && got != 0 {
+				t.Errorf("%s: %d requests at an agent, the right one is it: %v", when, got, n == to)
+			}
+		}
+	}
+	// changed waits until a change of the list has been taken in.
+	changed := func(target string) {
+		t.Helper()
+		before := strings.Count(s.log.String(), "worker list changed")
+		s.tell(false, target)
+		until(t, "the list is taken in", func() bool { return strings.Count(s.log.String(), "worker list changed") > before })
+	}
+	goes(a, "both pools serve")
+	changed("f DRAINING " + a.addr)
+	goes(b, "the first pool drains")
+	changed("f SERVING " + a.addr)
+	goes(a, "the first pool serves again")
+	changed("f DELETED " + a.addr)
+	goes(b, "the first pool is empty")
+	changed("f2 SERVING " + a.addr)
+	goes(a, "another has come")
+	mute.Store(true)
+	until(t, "the next pool stands in for a silent one", func() bool { return ask(1) == 200 })
+	if len(other.had()) > 0 {
+		t.Error("a worker of no pool was asked")
+	}
+	mute.Store(false)
+	// A reload takes the pools away.
+	if err := os.WriteFile(s.operator, []byte("match all\n  route lane\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "all workers are asked", func() bool {
+		for i := range 30 {
+			ask(i)
+		}
+		return len(other.had()) > 0
+	})
+}
--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -25,6 +25,7 @@
 	"calicohill/internal/loop"
 	"calicohill/internal/match"
 	"calicohill/internal/operator"
+	"calicohill/internal/pools"
 	"calicohill/internal/settings"
 
 	"github.com/sirupsen/logrus"
@@ -95,14 +96,14 @@
 		return err
 	}
 	log := parts.Part("scheduler")
-	rules, warnings, err := own.Compile(siteClasses(&cfg.Site))
+	rules, routes, warnings, err := own.Compile(siteClasses(&cfg.Site))
 	if err != nil {
 		return err
 	}
 	for _, w := range warnings {
 		parts.Part("rules").WithError(w).Warn("rule of no use")
 	}
-	cfg.Site.Peers = own.Gossip != nil
+	cfg.Site.Observed = from.operator != "" // for peers, and for routes, which may come by a reload
 	router, err := calicohill.New(cfg.Site.Settings, cfg.Seed)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -126,6 +127,7 @@
 	d.Use(agents)
 	server := fastcgi.New(l, d, pool, &cfg.Site, clients, parts.Part("clients"), parts.Part("rules"))
 	server.Use(fastcgi.NewRules(rules))
+	d.Route(orNone(routes))
 	list := d.List
 	var peers *gossipnet.Node
 	if own.Gossip != nil {
@@ -154,9 +156,10 @@
 		// stands. A file that cannot be used changes nothing, or a slip of the pen would end a good scheduler.
 		next, nextOwn, err := from.read()
 		var table *match.Table
+		var nextRoutes *pools.Core
 		if err == nil {
 			// The classes are those that the scheduler runs with: the platform's new ones are not taken up.
-			table, _, err = nextOwn.Compile(siteClasses(&cfg.Site))
+			table, nextRoutes, _, err = nextOwn.Compile(siteClasses(&cfg.Site))
 		}
 		var faults operator.Faults
 		if errors.As(err, &faults) {
@@ -185,6 +188,7 @@
 		l.Post(func() {
 			watch.Move(next.Bulletin)
 			server.Use(fastcgi.NewRules(table))
+			d.Route(orNone(nextRoutes))
 		})
 		log.WithField("bulletin", next.Bulletin).Info("configuration read again")
 	}
@@ -220,6 +224,14 @@
 	return nil
 }
 
+// orNone is the routes, or nil where there are none.
+func orNone(routes *pools.Core) *pools.Core {
+	if routes.Len() == 0 {
+		return nil
+	}
+	return routes
+}
+
 // siteClasses is the site's classes as rules know them.
 func siteClasses(site *settings.Site) []match.Class {
 	list := make([]match.Class, len(site.Classes))
--- a/health.go
+++ b/health.go
@@ -46,7 +46,7 @@
 
 // observe says what this scheduler itself finds of a worker, where there are others to tell.
 func (r *Router) observe(w *worker, t Trouble, at time.Duration) {
-	if r.set.Peers && (t != w.seen || at-w.seenAt > wordOwn/4 && (t != Well || w.word > NoWord)) {
+	if r.set.Observed && (t != w.seen || at-w.seenAt > wordOwn/4 && (t != Well || w.word > NoWord)) {
 		w.seen, w.seenAt = t, at
 		r.act(Observe{w.ID, t, at})
 	}
@@ -78,7 +78,7 @@
 	size := 0.0
 	for _, w := range r.list {
 		if r.watch(w); w.State == Ready && !r.isCold(w) {
-			size += r.size(w)
+			size += w.Weight
 		}
 	}
 	if gap := (r.now - r.servedAt).Seconds(); gap >= 1 {
@@ -158,7 +158,9 @@
 	r.version++
 	seen := map[string]bool{}
 	for _, in := range e.Workers {
-		seen[in.ID] = true
+		if seen[in.ID] = true; !r.set.WeightsTold || in.Weight <= 0 {
+			in.Weight = 1
+		}
 		w := r.workers[in.ID]
 		if w == nil {
 			w = &worker{Worker: in, limit: r.limitStart(), lastAnswer: r.now}
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -82,7 +82,7 @@
 		if t.Capacity != nil {
 			w.Weight = *t.Capacity
 		}
-		r.Entries = append(r.Entries, dispatch.Entry{Worker: w, Addr: t.Endpoint})
+		r.Entries = append(r.Entries, dispatch.Entry{Worker: w, Addr: t.Endpoint, Model: t.Model, ZoneName: t.AZ})
 	}
 	return r, nil
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"calicohill"
 	"calicohill/internal/buffer"
 	"calicohill/internal/deadline"
+	"calicohill/internal/pools"
 	"calicohill/internal/slot"
 )
 
@@ -92,7 +93,8 @@
 // Entry is a worker and where to reach it.
 type Entry struct {
 	calicohill.Worker
-	Addr string
+	Addr            string
+	Model, ZoneName string
 }
 
 // Loop is what the dispatcher needs of the event loop.
@@ -124,6 +126,7 @@
 	byID     map[string]slot.Ref
 	attempts slot.Table[*attempt]
 	states   map[string]calicohill.WorkerState
+	entries  map[string]pools.Attributes
 	listed   bool
 	open     int // requests without a final answer
 
@@ -131,6 +134,7 @@
 	posted bool
 
 	observe func(calicohill.Observe) // nil where nobody is told
+	routes  *pools.Core              // nil where there are none
 }
 
 type request struct {
@@ -156,7 +160,7 @@
 // New returns a Dispatcher. Use must be called before anything else.
 func New(l Loop, r *calicohill.Router, pool *buffer.Pool, maxOpen int) *Dispatcher {
 	return &Dispatcher{loop: l, router: r, pool: pool, maxOpen: maxOpen,
-		byID: map[string]slot.Ref{}, states: map[string]calicohill.WorkerState{}}
+		byID: map[string]slot.Ref{}, states: map[string]calicohill.WorkerState{}, entries: map[string]pools.Attributes{}}
 }
 
 // Use names what reaches the workers.
@@ -168,6 +172,29 @@
 // PeersHold takes in what other schedulers hold of workers.
 func (d *Dispatcher) PeersHold(h calicohill.PeersHold) { d.tell(h) }
 
+// Route has requests that come from now on go by these routes; nil is none. Those that are taken keep the workers
+// that theirs had last.
+func (d *Dispatcher) Route(routes *pools.Core) {
+	d.routes = routes
+	d.reroute(d.attributes())
+}
+
+// reroute tells the routes what happened, and the Router if some have other workers for it.
+func (d *Dispatcher) reroute(e pools.Event) {
+	if d.routes != nil && d.routes.Step(d.loop.Now(), []pools.Event{e}) {
+		d.tell(calicohill.PoolsChanged{})
+	}
+}
+
+// attributes is the list as conditions on workers see it.
+func (d *Dispatcher) attributes() pools.Listed {
+	var l pools.Listed
+	for _, id := range d.Listed() {
+		l.Workers = append(l.Workers, d.entries[id])
+	}
+	return l
+}
+
 // Listed is the workers that the list names, gone ones left out.
 func (d *Dispatcher) Listed() []string { return slices.Sorted(maps.Keys(d.states)) }
 
@@ -194,7 +221,13 @@
 	q.ref = d.requests.Put(q)
 	d.byID[c.ID] = q.ref
 	d.open++
-	d.tell(calicohill.Request{ID: c.ID, Class: c.Class, Function: cmp.Or(c.Affinity, c.Function), TimeLeft: max(q.end-now, 0),
+	function, pool := cmp.Or(c.Affinity, c.Function), (*calicohill.Pool)(nil)
+	if d.routes != nil && c.Route != "" {
+		if pool = d.routes.Route(c.Route); pool != nil {
+			function += "\x00" + c.Route // what is warm in one pool is not in another
+		}
+	}
+	d.tell(calicohill.Request{ID: c.ID, Class: c.Class, Function: function, Pool: pool, TimeLeft: max(q.end-now, 0),
 		Memory: c.Memory, Lanes: c.Lanes, LoadTime: c.LoadTime})
 	return q.ref, nil
 }
@@ -288,14 +321,19 @@
 	if r.Full {
 		l.Kind = calicohill.ListFull
 		clear(d.states)
+		clear(d.entries)
 	}
 	for _, e := range r.Entries {
 		l.Workers = append(l.Workers, e.Worker)
 		d.states[e.ID] = e.State
 		if e.State == calicohill.Gone {
 			delete(d.states, e.ID)
+			delete(d.entries, e.ID)
+			continue
 		}
+		d.entries[e.ID] = pools.Attributes{ID: e.ID, Model: e.Model, Zone: e.ZoneName, Group: e.Cell, State: pools.State(e.State)}
 	}
+	d.reroute(d.attributes())
 	// The Router hears of it before the attempts that end with it.
 	d.tell(l)
 	d.workers.Follow(r)
@@ -354,6 +392,7 @@
 		d.loop.At(&deadline.Entry{Fire: func() { d.tell(calicohill.TimerFired{Token: a.Token}) }},
 			d.loop.Now()+a.After)
 	case calicohill.Observe:
+		d.reroute(pools.Saw{Worker: a.Worker, Trouble: a.Trouble})
 		if d.observe != nil {
 			d.observe(a)
 		}
--- a/internal/match/compile.go
+++ b/internal/match/compile.go
@@ -62,7 +62,9 @@
 
 // compiler loads the expressions of one table.
 type compiler struct {
-	slots []string // parameters, by slot
+	schema []Field
+	env    any      // a value of the type that expressions are evaluated against
+	slots  []string // parameters, by slot
 }
 
 func (c *compiler) slot(name string) int {
@@ -93,7 +95,7 @@
 		c.slots = c.slots[:before]
 		return nil, &Refusal{0, fmt.Sprintf("over %d different parameters are read", maxParams)}
 	}
-	e := estimator{}
+	e := estimator{schema: c.schema}
 	f, refusal := e.estimate(tree.Node, 0)
 	if refusal != nil {
 		return nil, refusal
@@ -106,7 +108,7 @@
 		as = expr.AsKind(reflect.String)
 	}
 	again := &rewriter{c: c}
-	program, err := expr.Compile(source, expr.Env(&env{}), as, expr.DisableAllBuiltins(), expr.Patch(again), expr.MaxNodes(4*maxNodes))
+	program, err := expr.Compile(source, expr.Env(c.env), as, expr.DisableAllBuiltins(), expr.Patch(again), expr.MaxNodes(4*maxNodes))
 	if err != nil {
 		return nil, failed(err)
 	}
@@ -140,7 +142,7 @@
 func (r *rewriter) Visit(node *ast.Node) {
 	switch n := (*node).(type) {
 	case *ast.IdentifierNode:
-		if r.written && !slices.ContainsFunc(Schema, func(f Field) bool { return f.Name == n.Value }) && n.Value != "duration" {
+		if r.written && !slices.ContainsFunc(r.c.schema, func(f Field) bool { return f.Name == n.Value }) && n.Value != "duration" {
 			r.refuse(n, "unknown field %s", n.Value)
 		}
 	case *ast.BuiltinNode:
@@ -242,7 +244,10 @@
 
 // estimator estimates the worst of an expression from the schema's bounds. Whatever it does not know is refused, so
 // that there are no loops, no calls and no texts without a bound.
-type estimator struct{ nodes int }
+type estimator struct {
+	schema []Field
+	nodes  int
+}
 
 func (e *estimator) estimate(node ast.Node, depth int) (f figures, refusal *Refusal) {
 	if e.nodes++; e.nodes > maxNodes || depth > maxNesting {
@@ -266,11 +271,11 @@
 	case *ast.StringNode:
 		return figures{1, len(n.Value)}, nil
 	case *ast.IdentifierNode:
-		i := slices.IndexFunc(Schema, func(f Field) bool { return f.Name == n.Value })
+		i := slices.IndexFunc(e.schema, func(f Field) bool { return f.Name == n.Value })
 		if i < 0 || n.Value == "param" {
 			return f, refuse(n, "no field %q that could stand here", n.Value)
 		}
-		return figures{1, Schema[i].Most}, nil
+		return figures{1, e.schema[i].Most}, nil
 	case *ast.MemberNode: // only what the rewriter has put there
 		if base, ok := n.Node.(*ast.IdentifierNode); ok && base.Value == "has_" {
 			return figures{3, 0}, nil
--- a/internal/match/match_test.go
+++ b/internal/match/match_test.go
@@ -362,3 +362,25 @@
 		t.Errorf("docs/operators/matching.md lacks the schema:\n%s", Fields())
 	}
 }
+
+// A split sends each key the same way every time, and the told part of all keys.
+func TestSplit(t *testing.T) {
+	table := load(t, Rule{Name: "r", Route: src("old"), Splits: []Split{{Route: "trial", Part: 100}, {Route: "other", Part: 250}}})
+	routes := map[string]int{}
+	for i := range 10000 {
+		q := ask(table, nil, func(q *Request) { q.OnceKey = fmt.Sprint(i) })
+		route := table.Match(q).Route
+		if again := table.Match(q).Route; again != route {
+			t.Fatalf("key %d went to %s and %s", i, route, again)
+		}
+		routes[route]++
+	}
+	for route, want := range map[string]int{"trial": 1000, "other": 2500, "old": 6500} {
+		if got := routes[route]; got < want-200 || got > want+200 {
+			t.Errorf("%d of 10000 keys went to %s, want about %d", got, route, want)
+		}
+	}
+	if _, faults := Load([]Rule{{Name: "r", Splits: []Split{{Route: "a", Part: 600}, {Route: "b", Part: 600}}}}, classes); len(faults) != 1 {
+		t.Errorf("parts over the whole: %v", faults)
+	}
+}
--- a/internal/match/schema.go
+++ b/internal/match/schema.go
@@ -6,6 +6,7 @@
 package match
 
 import (
+	"cmp"
 	"hash/fnv"
 	"time"
 )
@@ -45,12 +46,13 @@
 	{"hour", "number", 0, "local time: 0 to 23"},
 	{"minute", "number", 0, "0 to 59"},
 	{"weekday", "number", 0, "0 (Sunday) to 6"},
-	{"share", "number", 0, "0 to 999, the same for all tries under one idempotency key"},
+	{"share", "number", 0, "0 to 999, the same for all tries under one idempotency key; by the request's id where there is none"},
 }
 
 // Request is what expressions see of a request.
 type Request struct {
 	Class, Handler, Path, Method, Client, OnceKey string
+	ID                                            string
 	Budget                                        time.Duration
 	Body                                          int
 	Memory                                        float64
@@ -102,7 +104,7 @@
 	*e = env{Class: capped(q.Class, mostClass), Handler: capped(q.Handler, mostFn), Path: capped(q.Path, mostPath),
 		Method: capped(q.Method, mostMethod), Budget: q.Budget, Body: q.Body, Keyed: q.OnceKey != "",
 		Client: capped(q.Client, mostClient), MemoryMB: q.Memory, Lanes: q.Lanes, Hour: q.Local.Hour(),
-		Minute: q.Local.Minute(), Weekday: int(q.Local.Weekday()), Share: share(q.OnceKey), Slots: e.Slots, Has: e.Has}
+		Minute: q.Local.Minute(), Weekday: int(q.Local.Weekday()), Share: share(cmp.Or(q.OnceKey, q.ID)), Slots: e.Slots, Has: e.Has}
 	for i := range e.Slots {
 		e.Slots[i], e.Has[i] = nil, false
 		if i < len(q.Params) && len(q.Params[i]) > 0 && len(q.Params[i][0]) <= mostValue {
--- a/internal/match/table.go
+++ b/internal/match/table.go
@@ -30,9 +30,17 @@
 	Key    Text
 	Route  Text
 	Labels []Label
+	Splits []Split // in order; what is left goes to Route
 	Stop   bool
 }
 
+// Split sends a part of a rule's requests to a route: the same ones for all tries under a key.
+type Split struct {
+	Place
+	Route string
+	Part  int // of 1,000
+}
+
 // Label is a label that a rule gives.
 type Label struct {
 	Name  string
@@ -115,7 +123,7 @@
 		fault(rules[MaxRules].Place, "match", "%d rules are over %d", len(rules), MaxRules)
 		return nil, faults
 	}
-	c := &compiler{}
+	c := &compiler{schema: Schema, env: &env{}}
 	for _, in := range rules {
 		r := &rule{Rule: in, count: Count{Rule: in.Name}}
 		load := func(directive string, x Text, want kind) *code {
@@ -153,6 +161,12 @@
 			in.Route.Source = `"` + in.Route.Source + `"`
 		}
 		r.route = load("route", in.Route, text)
+		parts := 0
+		for _, s := range in.Splits {
+			if parts += s.Part; parts > 1000 {
+				fault(s.Place, "split", "the parts add up to %d of 1,000", parts)
+			}
+		}
 		for _, l := range in.Labels {
 			r.labels = append(r.labels, load("label", l.Value, text))
 		}
@@ -360,6 +374,14 @@
 		}
 		next.Key = s
 	}
+	if x := e.Share; next.Route == "" {
+		for _, s := range r.Splits {
+			if x -= s.Part; x < 0 {
+				next.Route = s.Route
+				break
+			}
+		}
+	}
 	if next.Route == "" && r.route != nil {
 		s, err := value(r.route, mostName)
 		if err != nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -215,7 +215,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, _, err = set.Compile(nil)
+	_, _, _, err = set.Compile(nil)
 	var faults Faults
 	if !errors.As(err, &faults) || len(faults) != 2 || faults[0].Line != 2 || faults[0].Column != 8 || faults[1].Line != 3 || faults[1].Column != 11 {
 		t.Errorf("faults %v", err)
--- a/internal/operator/settings.go
+++ b/internal/operator/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"calicohill/internal/match"
+	"calicohill/internal/pools"
 )
 
 // Settings is what an operator's file says. The zero Settings are those of no file, but for the levels of logging,
@@ -16,6 +17,8 @@
 	Log    Log
 	Gossip *Gossip // nil where the section is missing: it is off
 	Rules  []match.Rule
+	Pools  []pools.Pool
+	Routes []pools.Route
 }
 
 // Log is the section log.
@@ -69,39 +72,60 @@
 	for _, name := range f.names["match"] {
 		s.Rules = append(s.Rules, f.rule(name))
 	}
+	for _, name := range f.names["pool"] {
+		at := f.where["pool "+name]
+		s.Pools = append(s.Pools, pools.Pool{Place: place(at), Name: name, Workers: f.text("pool "+name, "workers")})
+	}
+	for _, name := range f.names["route"] {
+		r := pools.Route{Place: place(f.where["route "+name]), Name: name}
+		for _, e := range f.sections["route "+name]["pool"] {
+			r.Pools = append(r.Pools, e.text(0))
+		}
+		s.Routes = append(s.Routes, r)
+	}
 	if len(f.faults) > 0 {
 		return nil, f.faults
 	}
 	return s, nil
 }
 
+func place(f Fault) match.Place { return match.Place{File: f.File, Line: f.Line, Column: f.Column} }
+
+// text is an argument with its place.
+func (e Entry) text(i int) match.Text {
+	return match.Text{Place: match.Place{File: e.File, Line: e.Line, Column: e.values[i].column}, Source: e.values[i].text}
+}
+
+// text is the first argument of a directive that stands once, with its place.
+func (f *File) text(section, directive string) (t match.Text) {
+	if e := f.sections[section][directive]; len(e) > 0 {
+		t = e[0].text(0)
+	}
+	return t
+}
+
 // rule is a rule as it stands in a file. Whether it makes sense is for match.Load to say.
 func (f *File) rule(name string) match.Rule {
 	section := "match " + name
-	place := func(e Entry, i int) match.Text {
-		return match.Text{Place: match.Place{File: e.File, Line: e.Line, Column: e.values[i].column}, Source: e.values[i].text}
-	}
-	only := func(directive string) (t match.Text) {
-		if e := f.sections[section][directive]; len(e) > 0 {
-			t = place(e[0], 0)
-		}
-		return t
-	}
-	at := f.where[section]
-	r := match.Rule{Place: match.Place{File: at.File, Line: at.Line, Column: at.Column}, Name: name, When: only("when"),
+	only := func(directive string) match.Text { return f.text(section, directive) }
+	r := match.Rule{Place: place(f.where[section]), Name: name, When: only("when"),
 		Class: only("class"), Key: only("key"), Route: only("route"), Stop: len(f.sections[section]["stop"]) > 0}
 	for _, e := range f.sections[section]["label"] {
-		r.Labels = append(r.Labels, match.Label{Name: e.values[0].text, Value: place(e, 1)})
+		r.Labels = append(r.Labels, match.Label{Name: e.values[0].text, Value: e.text(1)})
+	}
+	for _, e := range f.sections[section]["split"] {
+		r.Splits = append(r.Splits, match.Split{Place: place(e.Fault), Route: e.values[0].text, Part: int(e.values[1].number)})
 	}
 	return r
 }
 
-// Compile loads the rules of a file for the classes of a site; nil where those are not known. The error is Faults;
-// warnings are returned beside the table.
-func (s *Settings) Compile(classes []match.Class) (*match.Table, Faults, error) {
+// Compile loads the rules of a file for the classes of a site, nil where those are not known, and its pools and
+// routes. The error is Faults; warnings are returned beside the rest.
+func (s *Settings) Compile(classes []match.Class) (*match.Table, *pools.Core, Faults, error) {
 	t, found := match.Load(s.Rules, classes)
+	routes, more := pools.Load(s.Pools, s.Routes)
 	var warnings, faults Faults
-	for _, f := range found {
+	for _, f := range append(found, more...) {
 		one := Fault{File: f.File, Line: f.Line, Column: f.Column, Directive: f.Directive, Reason: f.Reason}
 		if f.Warning {
 			warnings = append(warnings, one)
@@ -109,10 +133,10 @@
 			faults = append(faults, one)
 		}
 	}
-	if t == nil {
-		return nil, warnings, faults
+	if len(faults) > 0 {
+		return nil, nil, warnings, faults
 	}
-	return t, warnings, nil
+	return t, routes, warnings, nil
 }
 
 func (f *File) gossip() *Gossip {
--- a/internal/operator/table.go
+++ b/internal/operator/table.go
@@ -61,6 +61,9 @@
 	{"match", "RULE", "A rule that decides a request's class, affinity key, route and labels. Rules are tried in the order in\n" +
 		"which they stand; each of these is given by the first rule that matches and gives it. Without rules a\n" +
 		"request's class is the last word of its path, and its affinity key its function."},
+	{"pool", "POOL", "Workers that a condition on their entry in the list holds of."},
+	{"route", "ROUTE", "Where the requests go that a rule gives this route: to the first of its pools that has somebody usable. A\n" +
+		"route without a section of its own is only a word in the log."},
 }
 
 var levels = []string{"debug", "info", "warning", "error"}
@@ -137,7 +140,17 @@
 		Help: "The route: its name, or an expression. It is kept with the request and logged."},
 	{Section: "match", Name: "label", Args: []Arg{{Name: "NAME", Type: Word}, {Name: "VALUE", Type: Expr}}, Repeated: true, Reload: true,
 		Example: `centre param["HTTP_X_CENTRE"]`, Help: "A label of the request."},
+	{Section: "match", Name: "split", Args: []Arg{{Name: "ROUTE", Type: Word}, {Name: "PART", Type: Count, Least: 1, Most: 1000}},
+		Repeated: true, Reload: true, Example: "trial 50",
+		Help: "So many in a thousand of the requests get this route; those left get the one of route. All tries under one\n" +
+			"idempotency key get the same."},
 	{Section: "match", Name: "stop", Reload: true, Help: "No further rule is tried once this one has matched."},
+
+	{Section: "pool", Name: "workers", Args: []Arg{{Name: "CONDITION", Type: Expr}}, Required: true, Reload: true,
+		Example: `model == "std" && zone == "guate-zona4"`,
+		Help:    "Which workers: a condition over id, model, zone, group and state (serving or draining)."},
+	{Section: "route", Name: "pool", Args: []Arg{{Name: "POOL", Type: Word}}, Required: true, Repeated: true, Reload: true,
+		Example: "fast", Help: "A pool; the first that stands here is preferred, the others stand in for it in turn."},
 }
 
 // Lookup finds a directive of a section.
--- a/router.go
+++ b/router.go
@@ -114,6 +114,7 @@
 	class, lanes   int
 	version        int           // of the list that order was made from
 	served         bool          // some worker answered it
+	pool           *Pool         // of the workers that may have it
 	calls          float64       // decaying
 	mean           decay.Value   // excess of the running mean of served latencies over the aim, in seconds
 	slowest        decay.Peak    // slowest recent one
@@ -197,6 +198,8 @@
 			r.loaded(e)
 		case PeersHold:
 			r.heed(e)
+		case PoolsChanged:
+			r.version++
 		case TimerFired:
 			due = due || e.Token == beatToken
 		}
--- a/router_test.go
+++ b/router_test.go
@@ -951,7 +951,7 @@
 	}
 }
 
-func withPeers(s *Settings) { s.Peers = true }
+func withPeers(s *Settings) { s.Observed = true }
 
 // lit is a fleet of which each worker holds the function and has just answered.
 func lit(t *testing.T, n int, change ...func(*Settings)) *bed {
@@ -1035,7 +1035,7 @@
 // What is seen is said: silence with its newest proof, its end, errors; without peers nothing is.
 func TestObserves(t *testing.T) {
 	for _, on := range []bool{true, false} {
-		b := newBed(t, settings(func(s *Settings) { s.Peers = on }), fleet(1)...)
+		b := newBed(t, settings(func(s *Settings) { s.Observed = on }), fleet(1)...)
 		s := b.send("a", "f")
 		seen := only[Observe](b.step(30*ms, end(s, 0, Served)))
 		var sent time.Duration
--- a/rules.go
+++ b/rules.go
@@ -59,7 +59,7 @@
 		// Shares under one call would add up if rounded: each scheduler draws whether it has one, and
 		// what it leaves unused lapses, or all savings could come at once.
 		most := coldMargin * r.set.TipMultiple * r.set.TipFor.Seconds()
-		budget := most * r.ripeness(w) * r.size(w) * float64(r.perWeight)
+		budget := most * r.ripeness(w) * w.Weight * float64(r.perWeight)
 		w.quota = int(budget + r.rng.Float64())
 		w.quotaTill = r.now + r.set.TipFor
 	}
@@ -77,14 +77,6 @@
 // isCold reports whether a worker has started so lately that it can do only part of its work.
 func (r *Router) isCold(w *worker) bool { return w.Started > 0 && r.now-w.Started < r.set.ColdFor }
 
-// size is a worker's size, for comparison with others; 1 where sizes are not told.
-func (r *Router) size(w *worker) float64 {
-	if r.set.WeightsTold && w.Weight > 0 {
-		return w.Weight
-	}
-	return 1
-}
-
 // send is the only place that starts an attempt.
 func (r *Router) send(q *request, w *worker, warm bool) bool {
 	if !r.maySend(q, w) {
