Stop a request's rules at the limit of its cost, whatever an estimate missed

Need: a meter beside the estimate, with a defined result.

Before each rule what was spent and what it may cost are held against the table's limit; what is left does not match and is counted as failed. The library's own count of values put together is bounded too. A test lowers the limit under what the estimate says.

--- a/internal/match/match_test.go
+++ b/internal/match/match_test.go
@@ -363,6 +363,16 @@
 	}
 }
 
+// The meter ends a request at its limit, with what was decided until then.
+func TestMeter(t *testing.T) {
+	table := load(t, Rule{Name: "a", Key: src(`"a"`)}, Rule{Name: "b", Route: src("b")}, Rule{Name: "c", Route: src("c")})
+	table.limit = table.rules[0].cost + table.rules[1].cost - 1 // as if the estimate had been too low
+	got := table.Match(ask(table, nil))
+	if got.Key != "a" || got.Route != "" || len(got.Failed) != 1 || table.Counts()[1].Failed != 1 || table.Counts()[2].Tried != 0 {
+		t.Errorf("%+v, %+v", got, table.Counts())
+	}
+}
+
 // A split sends each key the same way every time, and the told part of all keys.
 func TestSplit(t *testing.T) {
 	table := load(t, Rule{Name: "r", Route: src("old"), Splits: []Split{{Route: "trial", Part: 100}, {Route: "other", Part: 250}}})
--- a/internal/match/table.go
+++ b/internal/match/table.go
@@ -1,6 +1,7 @@
 package match
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 
@@ -84,6 +85,11 @@
 	Cost    uint64 `json:"cost"` // estimated, of what was evaluated
 }
 
+var errMeter = errors.New("the limit of a request's cost is reached")
+
+// memoryBudget is how many values an expression may put together, by the library's own count.
+const memoryBudget = 4 * maxText
+
 type rule struct {
 	Rule
 	when, class, key, route *code
@@ -99,7 +105,7 @@
 	classes map[string]Class
 	index   *index
 	slots   []string
-	worst   int
+	limit   int // the worst that a request can cost
 	scratch env
 	list    []int
 	machine vm.VM
@@ -171,17 +177,19 @@
 			r.labels = append(r.labels, load("label", l.Value, text))
 		}
 		t.rules = append(t.rules, r)
-		t.worst += r.cost
 	}
 	if bad > 0 {
 		return nil, faults
 	}
 	t.index = newIndex(t.rules)
 	// What one request can meet: all rules without a need, and of the others those that share what they need.
-	if worst, at := t.path(); worst > MaxPath {
+	worst, at := t.path()
+	if worst > MaxPath {
 		fault(at, "match", "the rules that one request can meet cost up to %d, at most %d is allowed", worst, MaxPath)
 		return nil, faults
 	}
+	t.limit = worst
+	t.machine.MemoryBudget = memoryBudget
 	t.slots = c.slots
 	t.scratch.Slots, t.scratch.Has = make([][]string, len(c.slots)), make([]bool, len(c.slots))
 	return t, append(faults, t.warnings()...)
@@ -273,10 +281,7 @@
 func (t *Table) Slots() []string { return t.slots }
 
 // Limit is the worst that a request can cost.
-func (t *Table) Limit() int {
-	worst, _ := t.path()
-	return worst
-}
+func (t *Table) Limit() int { return t.limit }
 
 // Len is the number of rules.
 func (t *Table) Len() int { return len(t.rules) }
@@ -305,6 +310,13 @@
 	for _, i := range t.list {
 		r := t.rules[i]
 		r.count.Tried++
+		// The meter: whatever an estimate may have missed, a request is evaluated no further than its limit. What is
+		// left does not match.
+		if !t.plain && out.Cost+r.cost > t.limit {
+			r.count.Failed++
+			out.Failed = append(out.Failed, r.Name+": "+errMeter.Error())
+			break
+		}
 		r.count.Cost += uint64(r.when.cost)
 		out.Cost += r.when.cost
 		v, err := t.run(r.when, e)
