Bound what one member may ask for, and what clients can have logged

Cause, found by reading the change again: a member could ask for records without end, and one that was no member yet for answers, until nothing of the budget of messages was left for own pings and for others; one that told of members which do not exist had them asked first, beside every budget. The reason of a failed rule may hold what a client sent, and stood in the message that the log thins out by, so that each client text made a line of its own. The guard kept members that were forgotten.

Answers are owed by member and in all; hints are followed at random, out of the part of news; rule failures are thinned out by rule; the guard forgets with the core. A field of the wire that nobody read is gone.

--- a/internal/fastcgi/rules.go
+++ b/internal/fastcgi/rules.go
@@ -1,6 +1,7 @@
 package fastcgi
 
 import (
+	"errors"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -60,7 +61,9 @@
 		Params: f.others}
 	got := s.rules.table.Match(&q)
 	for _, failed := range got.Failed {
-		s.rulesLog.Warn(s.loop.Now(), "rule failed: "+failed, nil)
+		// The reason may hold what the client sent: as a message it would get around the thinning out.
+		name, reason, _ := strings.Cut(failed, ": ")
+		s.rulesLog.Warn(s.loop.Now(), "rule failed: "+name, errors.New(reason))
 	}
 	if got.Class != "" {
 		f.path = classPath + got.Class
--- a/internal/gossip/core.go
+++ b/internal/gossip/core.go
@@ -61,8 +61,8 @@
 	forgetDead   = 60 * time.Second       // how long one that is gone is remembered, so that old news does not bring it back
 	claimsRate   = 1.0                    // claims a second that are believed of one member, and
 	claimsBurst  = 4.0                    // how many at once
-	acksRate     = 5.0                    // pings a second of one member that are answered, and
-	acksBurst    = 10.0                   // how many at once
+	acksRate     = 1.0                    // pings a second of one member that are answered, and
+	acksBurst    = 4.0                    // how many at once
 	maxWaiting   = 64                     // candidates, and pings of others that are waited for
 	repeatFactor = 2                      // how often news is told: this often times the logarithm of the members
 	sweepEvery   = 100 * time.Millisecond // how often those suspected or gone are looked at
@@ -100,7 +100,7 @@
 func (Drop) event()     {}
 func (Retry) event()    {}
 
-// Action is something that a Core asks for. The concrete types are Transmit, Changed, Heard and Usurped.
+// Action is something that a Core asks for. The concrete types are Transmit, Changed, Forgotten, Heard and Usurped.
 type Action interface{ action() }
 
 // Transmit sends a message.
@@ -114,16 +114,20 @@
 // Changed says that a member is new, or another state holds for it.
 type Changed struct{ Member Member }
 
+// Forgotten says that nothing is held of a member any more.
+type Forgotten struct{ Name string }
+
 // Heard brings a statement that is new.
 type Heard struct{ Statement Statement }
 
 // Usurped says that another member of this one's name started later. Nothing is sent from then on.
 type Usurped struct{ Epoch int64 }
 
-func (Transmit) action() {}
-func (Changed) action()  {}
-func (Heard) action()    {}
-func (Usurped) action()  {}
+func (Transmit) action()  {}
+func (Changed) action()   {}
+func (Heard) action()     {}
+func (Forgotten) action() {}
+func (Usurped) action()   {}
 
 // Member is what a Core holds of another member.
 type Member struct {
@@ -165,32 +169,33 @@
 
 // Core is one member's view of the fleet. It is not safe for concurrent use.
 type Core struct {
-	cfg        Config
-	rng        *rand.Rand
-	now        time.Duration
-	acts       []Action
-	started    bool
-	silent     bool // it left or was usurped
-	own        Record
-	health     int // 0 is well
-	members    map[string]*member
-	order      []string // that members are probed in, shuffled
-	next       int      // in it
-	probes     []*probe
-	queue      map[string]*news
-	found      map[string]Record // who is said to be there, and has not answered yet
-	budget     bucket.Bucket
-	newsBudget bucket.Bucket
-	nonce      uint64
-	nextProbe  time.Duration
-	nextNews   time.Duration
-	nextRetry  time.Duration
-	nextSweep  time.Duration
-	round      int
-	cursor     int // among members, for summaries
-	doubted    int // members that are not alive
-	latest     map[string]Statement
-	Sent       uint64 // messages so far
+	cfg                Config
+	rng                *rand.Rand
+	now                time.Duration
+	acts               []Action
+	started            bool
+	silent             bool // it left or was usurped
+	own                Record
+	health             int // 0 is well
+	members            map[string]*member
+	order              []string // that members are probed in, shuffled
+	next               int      // in it
+	probes             []*probe
+	queue              map[string]*news
+	found              map[string]Record // who is said to be there, and has not answered yet
+	budget             bucket.Bucket
+	newsBudget         bucket.Bucket
+	answers, strangers bucket.Bucket
+	nonce              uint64
+	nextProbe          time.Duration
+	nextNews           time.Duration
+	nextRetry          time.Duration
+	nextSweep          time.Duration
+	round              int
+	cursor             int // among members, for summaries
+	doubted            int // members that are not alive
+	latest             map[string]Statement
+	Sent               uint64 // messages so far
 }
 
 // New returns a Core that knows nobody.
@@ -346,7 +351,7 @@
 	}
 	switch m.Kind {
 	case Ping:
-		if from == nil || from.acks.Take(c.now, 1, acksRate, acksBurst) {
+		if c.owes(from) {
 			c.answer(e, from)
 		}
 	case Ack:
@@ -356,16 +361,28 @@
 			p.nacks++
 		}
 	case Ask:
-		if from != nil && from.acks.Take(c.now, 1, acksRate, acksBurst) {
+		if from != nil && c.owes(from) {
 			c.ask(e)
 		}
 	case Gossip:
-		if len(m.Want) > 0 && e.Trusted {
+		if len(m.Want) > 0 && e.Trusted && c.owes(from) {
 			c.send(e.From, e.Addr, &Message{Kind: Gossip, Records: c.wanted(m.Want)})
 		}
 	}
 }
 
+// owes reports whether a member is still owed an answer: each so many a second, all that are not members yet as many
+// as three, and all together a part of what is sent. Otherwise one that asks all the time would leave nothing for this
+// member's own pings and for the answers to others.
+func (c *Core) owes(from *member) bool {
+	own, parts := &c.strangers, 3.0
+	if from != nil {
+		own, parts = &from.acks, 1
+	}
+	most := float64(c.cfg.Messages)
+	return own.Take(c.now, 1, parts*acksRate, parts*acksBurst) && c.answers.Take(c.now, 1, 0.3*most, 0.3*most)
+}
+
 // answer acknowledges a ping, with what its sender lacks.
 func (c *Core) answer(e Received, from *member) {
 	a := &Message{Kind: Ack, Nonce: e.Message.Nonce}
@@ -530,6 +547,7 @@
 		delete(c.members, name)
 		c.order = slices.DeleteFunc(c.order, func(n string) bool { return n == name })
 	}
+	c.acts = append(c.acts, Forgotten{name})
 	delete(c.queue, "r"+name)
 	delete(c.queue, "c"+name)
 	delete(c.queue, "s"+name)
@@ -613,7 +631,7 @@
 		case !p.asked:
 			p.asked = true
 			for _, h := range c.sample(helpers, func(o *member) bool { return o.State == Alive && o != m }) {
-				if c.send(h.Name, h.Addr.AddrPort, &Message{Kind: Ask, Nonce: p.nonce, Target: m.Name, TargetAddr: m.Addr}) {
+				if c.send(h.Name, h.Addr.AddrPort, &Message{Kind: Ask, Nonce: p.nonce, Target: m.Name}) {
 					p.helpers++
 				}
 			}
@@ -697,12 +715,16 @@
 
 // meet asks one that is said to be there.
 func (c *Core) meet() {
-	if len(c.found) > 0 {
-		name := slices.Min(slices.Collect(maps.Keys(c.found)))
-		r := c.found[name]
-		delete(c.found, name)
-		c.ping(name, r.Addr.AddrPort, c.summaries())
+	most := float64(c.cfg.Messages)
+	if len(c.found) == 0 || !c.newsBudget.Take(c.now, 1, 0.2*most, 0.3*most) {
+		return
 	}
+	// At random, or one that tells of members which do not exist could have them always come first.
+	names := slices.Sorted(maps.Keys(c.found))
+	name := names[c.rng.IntN(len(names))]
+	r := c.found[name]
+	delete(c.found, name)
+	c.ping(name, r.Addr.AddrPort, c.summaries())
 }
 
 // retry asks somebody who is not there: a seed of whom nothing is known, else one that is dead. Whoever was cut off
@@ -790,7 +812,7 @@
 		msg := &Message{Kind: Gossip}
 		// News takes a part of the budget, so that pings and their answers always find some.
 		most := float64(c.cfg.Messages)
-		if len(c.queue) == 0 || !c.newsBudget.Take(c.now, 1, 0.35*most, 0.3*most) || !c.send(m.Name, m.Addr.AddrPort, msg) {
+		if len(c.queue) == 0 || !c.newsBudget.Take(c.now, 1, 0.2*most, 0.3*most) || !c.send(m.Name, m.Addr.AddrPort, msg) {
 			return
 		}
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -43,7 +43,6 @@
 	Nonce      uint64
 	At         int64    // when it was sent by its sender's clock, Unix milliseconds
 	Target     string   // of an Ask
-	TargetAddr Addr     // of an Ask
 	Cookie     Cookie   // what the sender wants to see on what it is sent
 	Cert       []byte   // the sender's, for one that may not know it
 	Records    []Record // of members
--- a/internal/gossipnet/node.go
+++ b/internal/gossipnet/node.go
@@ -302,6 +302,8 @@
 				members = true
 				n.log.WithFields(logrus.Fields{"peer": a.Member.Name, "address": a.Member.Addr.String()}).
 					Info("peer " + a.Member.State.String())
+			case gossip.Forgotten:
+				n.guard.Forget(a.Name)
 			case gossip.Heard:
 				n.events = append(n.events, suspicion.Heard{From: a.Statement.Name, Body: a.Statement.Body})
 			case gossip.Usurped:
--- a/internal/gossipsim/gossip_test.go
+++ b/internal/gossipsim/gossip_test.go
@@ -260,3 +260,28 @@
 		}
 	})
 }
+
+// Members that ask all the time, want records and tell of members that do not exist leave the others their answers:
+// nobody is taken for suspect, and no more is sent than is allowed.
+func TestAskedAllTheTime(t *testing.T) {
+	net := fleet(t, 12, 8)
+	dead := 0
+	net.Changed = func(n *Node, m gossip.Member) {
+		if m.State >= gossip.Suspect {
+			dead++
+		}
+	}
+	victim := net.Nodes[0]
+	for i := range 2000 {
+		for _, liar := range net.Nodes[1:4] {
+			net.Send(liar, victim.Addr, &gossip.Message{Kind: gossip.Ping, Nonce: uint64(i)})
+			net.Send(liar, victim.Addr, &gossip.Message{Kind: gossip.Ask, Nonce: uint64(i), Target: "n9"})
+			net.Send(liar, victim.Addr, &gossip.Message{Kind: gossip.Gossip, Want: []string{"n0", "n5", "n6"}})
+		}
+		net.Run(10 * time.Millisecond)
+	}
+	if o := odd(net); o != "" || dead > 0 {
+		t.Errorf("%d findings that a member is suspect which is well; %s", dead, o)
+	}
+	bounded(t, net)
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -60,13 +60,11 @@
 	return l.WithField("part", name)
 }
 
-const (
-	every = time.Second // how often Thinned lets a message through
-	most  = 1000        // different messages that are kept apart
-)
+// every is how often Thinned lets a message through.
+const every = time.Second
 
-// Thinned lets each message through once a second at most and counts the others. It is not safe for concurrent
-// use.
+// Thinned lets each message through once a second at most and counts the others. Messages must not hold what a peer
+// sends. It is not safe for concurrent use.
 type Thinned struct {
 	Log  logrus.FieldLogger
 	last map[string]kept
@@ -79,9 +77,6 @@
 
 // Warn logs a message, with the number of those left out since the last as "more".
 func (t *Thinned) Warn(now time.Duration, message string, err error) {
-	if len(t.last) >= most {
-		clear(t.last)
-	}
 	k, seen := t.last[message]
 	if seen && now-k.at < every {
 		k.more++
--- a/router_test.go
+++ b/router_test.go
@@ -1084,3 +1084,22 @@
 		t.Errorf("after a change: %v", got)
 	}
 }
+
+// On the word of others nobody is left out whom the rest could not do without.
+func TestKeepsWhoIsNeeded(t *testing.T) {
+	b := lit(t, 4)
+	b.wait(2 * time.Second)
+	for _, w := range b.r.list {
+		w.limit = 2
+		w.outs = make([]*attempt, 1) // half of the lanes of each are taken
+		defer func() { w.outs = nil }()
+	}
+	b.r.now += time.Millisecond
+	b.r.survey()
+	b.r.heed(believed("w0", "w1", "w2", "w3"))
+	for _, w := range b.r.list {
+		if w.suspect {
+			t.Errorf("%s is left out though half of all lanes are taken", w.ID)
+		}
+	}
+}
