--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,11 @@
 
 .PHONY: build test race lint fuzz run serve generate
 
+# Linked against the C library: the platform loads a library of its own into the scheduler.
+export CGO_ENABLED = 1
+
 build: ## all programs, as the platform builds them
-	mkdir -p bin && go build -buildvcs=false -o bin/ ./cmd/...
+	mkdir -p bin && go build -buildvcs=false -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 test: ## all tests; those of the program start it as a process
 	go test -count=1 ./...
