Leave workers that all schedulers press, the same functions first everywhere

Checked and ruled out: processor time, memory (5 of 64 MB), descriptors (102 of 384), start (15 ms).

Lines at fault: choice.go, left: a worker was left only where calls met company of the same function, which those seldom called never do; learn.go read InFlight of load reports, which this site does not tell, and not util; a timed-out attempt taught nothing; queue.go refused by one noisy latency of the one worker looked at.

Change: a worker is pressed by util plus the answer's time in least aims; timed out and turned away count as late. The more it is pressed the more of its functions leave for the next in their order, in an order that follows from the names.

Test: TestPressedWorkerIsLeft.

--- a/choice.go
+++ b/choice.go
@@ -58,12 +58,15 @@
 		return nil, false
 	}
 	// The first copy of all goes to the first with room, so that the store is asked once.
-	var first *worker
+	var first, spare *worker
 	for i, w := range r.hashOrder(f) {
 		if i >= walkDepth && len(q.attempts) == 0 || first != nil && !stands {
 			break
 		}
 		p := f.pair(w)
+		if r.room(q, w) && r.left(p) && (spare == nil || r.busier(spare, w)) {
+			spare = w
+		}
 		if r.room(q, w) && !r.left(p) && r.now >= w.noLoads && w.loads < loadLanes && p.out < f.lanes {
 			if first == nil || r.busier(first, w) {
 				first, w = w, first
@@ -73,6 +76,9 @@
 			}
 		}
 	}
+	if first == nil {
+		first = spare
+	}
 	return first, first != nil && r.isWarm(f.pair(first))
 }
 
@@ -84,7 +90,7 @@
 
 // load is how busy a worker is for its size, and pace how its latencies compare with those of all workers.
 func (r *Router) load(w *worker) float64 {
-	return (1 + float64(len(w.outs)) + w.others) * r.paceOf(w) / (w.Weight * r.ripeness(w))
+	return (1 + float64(len(w.outs)) + w.others) / (w.Weight * r.ripeness(w)) * max(0.1, r.pressOf(w))
 }
 
 func (r *Router) paceOf(w *worker) float64 {
@@ -143,14 +149,15 @@
 	return home
 }
 
-// left reports whether a worker is left for another because of what other schedulers send there; slow and
-// ageing ones too. Where all are slow it gains nothing, hence the pace; few schedulers know by own counts.
+// left reports whether a function leaves a worker for the next in its order, at every scheduler the same ones
+// first: each sees little of a worker, and would hold on to one that all press. Few know by their own counts.
 func (r *Router) left(p *pair) bool {
-	pace := r.paceOf(p.w)
-	return p.company*r.theirs >= 1 && pace*r.lat > crowdAims*r.leastAim &&
-		pace > crowdPace+crowdOwn*(1-r.theirs)
+	return (r.pressOf(p.w)-leaveFrom)/(leaveAll-leaveFrom)*math.Pow(r.theirs, 4) > p.stays
 }
 
+// pressOf is how pressed a worker is believed to be: as last seen, fading to what others are.
+func (r *Router) pressOf(w *worker) float64 { return r.press + w.press.At(r.now, r.set.KeepAlive) }
+
 func (r *Router) fade(at time.Duration) float64 {
 	return math.Exp(-(r.now - at).Seconds() / (widthTau * r.set.KeepAlive.Seconds()))
 }
@@ -172,7 +179,7 @@
 	if i := slices.IndexFunc(f.pairs, func(p *pair) bool { return p.w == w }); i >= 0 {
 		return f.pairs[i]
 	}
-	f.pairs = append(f.pairs, &pair{w: w, copies: 1})
+	f.pairs = append(f.pairs, &pair{w: w, copies: 1, stays: rendezvous.Uniform(w.ID, f.name)})
 	return f.pairs[len(f.pairs)-1]
 }
 
--- a/learn.go
+++ b/learn.go
@@ -28,6 +28,7 @@
 	if e.Report != nil && e.Report.InFlight >= 0 {
 		w.others += workerWeight * (max(0, e.Report.InFlight-float64(len(w.outs))) - w.others)
 	}
+	r.feel(a, e)
 	switch e.Outcome {
 	case Served:
 		r.learn(a, e)
@@ -83,6 +84,31 @@
 	}
 }
 
+// feel takes in what the end of an attempt tells of how pressed its worker is. One that never came was a
+// late one; that of a call which may have waited for a load tells of no queue.
+func (r *Router) feel(a *attempt, e AttemptEnd) {
+	took := cmp.Or(e.Latency, r.now-a.sent).Seconds() / r.leastAim
+	x := min(took, 1)
+	if e.Report != nil && e.Report.Util >= 0 {
+		x = e.Report.Util
+	}
+	switch {
+	case e.Outcome == TimedOut || e.Outcome == Cancelled && a.rescued:
+		x = 1 + took
+	case e.Outcome == Shed && !a.cold:
+		x = shedPress
+	case e.Outcome == Served && !a.cold:
+		x += took
+	case e.Report == nil:
+		return
+	default:
+		x += idleTook
+	}
+	old := a.w.press.At(r.now, r.set.KeepAlive)
+	a.w.press.Set(r.now, old+workerWeight*(x-r.press-old))
+	r.press += fleetWeight * (x - r.press)
+}
+
 func (r *Router) answered(w *worker) {
 	if w.lastAnswer, w.breaks = r.now, 0; w.suspect {
 		w.suspect, w.tries, w.limit = false, 0, max(limitMin, min(w.limit, 2))
@@ -115,7 +141,6 @@
 		return
 	}
 	if e.Company >= 0 {
-		p.company += workerWeight * (float64(e.Company) - p.company)
 		p.copies = max(1, (e.Company+f.lanes)/f.lanes)
 	}
 	r.lat = cmp.Or(r.lat, lat)
--- a/queue.go
+++ b/queue.go
@@ -35,10 +35,10 @@
 	// A departure: the work ahead makes it late by the shortest aim. Against the deadline alone queues grow
 	// till every answer is late. One bound, or short aims would starve. Harm: where late worth is high.
 	late := c.LateWorth < 1 && wait+min(r.service(q.fn), r.leastAim/2) > r.leastAim
-	// What others have ahead of it shows in how long answers from its worker take.
+	// What others have ahead of it shows in how pressed its worker is.
 	share := 0.0
 	if w != nil {
-		share = (r.paceOf(w)*r.lat/r.leastAim - refuseFrom) / refuseFrom
+		share = (r.pressOf(w) - 1 - refuseFrom) / refuseFrom
 		late = late || r.rng.Float64() < min(share, refuseMost)*math.Pow(r.theirs, 4)
 	}
 	// Traffic past its tenant's share is worth little: it makes way as soon as anything has to wait.
--- a/router.go
+++ b/router.go
@@ -1,8 +1,9 @@
 // Package calicohill decides, for a scheduler in front of workers that keep only some of many functions
 // loaded, where each request goes, which requests are refused, and when an attempt is given up for another.
-// Every decision is in the files that deploy/balancer.toml names as policy: state in router.go, order and
+// Every decision is in the files that deploy/balancer.toml names as policy: the step in router.go, order and
 // refusal in queue.go, choice of a worker in choice.go, guards of the rules in rules.go, what answers teach
-// in learn.go, whom to trust in health.go. Departures from the design are marked "A departure".
+// in learn.go, whom to trust in health.go. What they hold is in state.go, what they are told and ask for in
+// api.go. Departures from the design are marked "A departure".
 package calicohill
 
 import (
@@ -50,11 +51,12 @@
 
 	widthMore = 2.0 // workers for a function, as a multiple of its part of the calls times all workers
 	widthTau  = 2.0 // keep-alives over which that part is counted
-	crowdAims = 0.2 // answers of a crowded worker take this share of the least aim, and
-	crowdPace = 1.3 // this many times what they take elsewhere, more with few schedulers:
-	crowdOwn  = 2.0 // by this times our part of the calls
+	// A worker is pressed by the share of its cores that is busy, and by what an answer takes, in least aims.
+	// From the first on functions leave it for the next in their order; from the second on all have.
+	leaveFrom, leaveAll = 0.9, 1.7
+	shedPress, idleTook = 2.0, 0.2 // of one that turns calls away; of an answer that tells of no queue
 
-	refuseFrom = 0.5 // mean answers of this share of the aim begin to be refused; of twice that
+	refuseFrom = 0.5 // calls for workers pressed by this over 1 begin to be refused; by twice that
 	refuseMost = 0.8 // no more than this share is, or nothing would show that the worker is well again
 
 	coldMargin = 0.9 // share of a cold worker's budget that is used
@@ -74,6 +76,7 @@
 	version       int       // of the list, for the functions' hash orders
 	funcs         map[string]*function
 	leastAim, lat float64        // least aim of all classes and mean latency of warm calls, in seconds
+	press         float64        // running mean of what presses the workers
 	well          int            // usable workers that do not answer errors
 	alone         int            // calls overdue alone that may be sent elsewhere too
 	lanes, busy   float64        // lanes that are usable; share of them that is taken
@@ -89,71 +92,6 @@
 	servedAt, askAgain, lastCall time.Duration
 }
 
-type worker struct {
-	Worker
-	loads             int // attempts of ours that wait for a load: they hold no lane
-	outs              []*attempt
-	limit             float64 // how many that hold a lane may be there
-	life              int     // counts restarts; beliefs of an earlier life are void
-	others            float64 // requests of other schedulers
-	suspect           bool
-	word              Word        // what other schedulers hold of it
-	seen              Trouble     // what they were told of it last, as seen at seenAt
-	tries, sheds      int         // trials since it became suspect; refusals in a row
-	errs, pace        decay.Value // running share of errors in its answers; excess of its latencies
-	breaks            int         // times that connections broke with no answer since
-	brokeAt, seenAt   time.Duration
-	lastAnswer, tryAt time.Duration
-	full, noLoads     time.Duration // it gets nothing new, or no new load, until then
-	quota             int           // calls that it may still be sent while cold, until quotaTill
-	quotaTill, goneAt time.Duration
-}
-
-type function struct {
-	name           string
-	class, lanes   int
-	version        int           // of the list that order was made from
-	served         bool          // some worker answered it
-	pool           *Pool         // of the workers that may have it
-	calls          float64       // decaying
-	mean           decay.Value   // excess of the running mean of served latencies over the aim, in seconds
-	slowest        decay.Peak    // slowest recent one
-	told, lastCall time.Duration // told: usual time of a load
-	pairs          []*pair
-	order          []*worker
-}
-
-// pair is what is known of a function at a worker.
-type pair struct {
-	w                 *worker
-	life, copies, out int
-	warm              bool
-	at                time.Duration // when last found warm
-	company           float64       // running mean of the calls for it that calls met there
-	loading, ordered  bool          // a load that a call began, or that was ordered, is under way
-}
-
-type request struct {
-	Request
-	class                  *Class
-	fn                     *function
-	end, due               time.Duration // when the client gives up; the deadline that orders the queue
-	half                   time.Duration // half of the client's time, less what a look may be late
-	attempts               []*attempt
-	out                    int
-	done, streams, reached bool // reached: some attempt came as far as a worker
-}
-
-type attempt struct {
-	q                            *request
-	n                            int
-	w                            *worker
-	p                            *pair
-	sent, late                   time.Duration // late: when it is overdue
-	cost                         float64
-	cold, ended, rescued, proved bool // proved: it never ran
-}
-
 // New returns a Router for these settings. All its randomness comes from the seed.
 func New(s Settings, seed uint64) (*Router, error) {
 	least, err := s.check()
--- a/router_test.go
+++ b/router_test.go
@@ -862,29 +862,41 @@
 	}
 }
 
-// A worker that others crowd with calls of a function is left for the next one; a slow fleet is not.
-func TestCrowdedWorkerIsLeft(t *testing.T) {
-	for _, c := range []struct {
-		name    string
-		change  func(*Settings)
-		company int
-		slow    time.Duration
-		left    bool
-	}{
-		{"others crowd it", many, 6, 900 * ms, true},
-		{"nobody else calls it there", many, 0, 900 * ms, false},
-		{"answers are quick", many, 6, 50 * ms, false},
-		{"all calls are our own", settingsAsTold, 6, 900 * ms, false},
-	} {
-		b := newBed(t, settings(c.change), fleet(6)...)
-		b.warmUp(60, 100*ms)
-		s := b.send("x", "f0")
-		e := end(s, 0, Served)
-		e.Latency, e.Company = c.slow, c.company
-		b.step(c.slow, e)
-		if got := b.r.left(b.r.funcs["f0"].pair(b.r.workers[s.Worker])); got != c.left {
-			t.Errorf("%s: left is %v, want %v", c.name, got, c.left)
+// A worker that all schedulers together press is left: by the more of its functions the more it is pressed, the same
+// ones first at every scheduler. Each scheduler alone once held on to its homes while a third of the workers idled.
+func TestPressedWorkerIsLeft(t *testing.T) {
+	leaving := func(change func(*Settings), util float64, took time.Duration) map[string]bool {
+		b := newBed(t, settings(change), fleet(6)...)
+		w := b.r.workers["w0"]
+		for range 8 {
+			for _, a := range []*worker{w, b.r.workers["w1"], b.r.workers["w2"], b.r.workers["w3"]} {
+				e := AttemptEnd{Outcome: Served, Latency: 50 * ms, Report: &Report{InFlight: -1, Util: 0.5}}
+				if a == w {
+					e.Latency, e.Report.Util = took, util
+				}
+				b.r.feel(&attempt{w: a}, e)
+			}
 		}
+		gone := map[string]bool{}
+		for i := range 100 {
+			if f := (&function{name: fmt.Sprint("f", i)}); b.r.left(f.pair(w)) {
+				gone[f.name] = true
+			}
+		}
+		return gone
+	}
+	calm, busy, late := leaving(many, 0.4, 50*ms), leaving(many, 1, 50*ms), leaving(many, 1, 900*ms)
+	if len(calm) != 0 || len(busy) < 5 || len(busy) > 60 || len(late) < 90 {
+		t.Errorf("of 100 functions %d leave a calm worker, %d a busy and %d a late one, want none, some and most",
+			len(calm), len(busy), len(late))
+	}
+	for f := range busy {
+		if !late[f] {
+			t.Errorf("%s leaves a busy worker and stays at one that is late too", f)
+		}
+	}
+	if own := leaving(settingsAsTold, 1, 900*ms); len(own) != 0 {
+		t.Errorf("%d functions leave a worker that is pressed by our own calls", len(own))
 	}
 }
 
--- /dev/null
+++ b/state.go
@@ -0,0 +1,75 @@
+package calicohill
+
+import (
+	"time"
+
+	"calicohill/internal/decay"
+)
+
+// What a Router holds of workers, functions and requests. Nothing is decided here.
+
+type worker struct {
+	Worker
+	loads             int // attempts of ours that wait for a load: they hold no lane
+	outs              []*attempt
+	limit             float64     // how many that hold a lane may be there
+	life              int         // counts restarts; beliefs of an earlier life are void
+	press             decay.Value // above what others are pressed
+	others            float64     // requests of other schedulers
+	suspect           bool
+	word              Word        // what other schedulers hold of it
+	seen              Trouble     // what they were told of it last, as seen at seenAt
+	tries, sheds      int         // trials since it became suspect; refusals in a row
+	errs, pace        decay.Value // running share of errors in its answers; excess of its latencies
+	breaks            int         // times that connections broke with no answer since
+	brokeAt, seenAt   time.Duration
+	lastAnswer, tryAt time.Duration
+	full, noLoads     time.Duration // it gets nothing new, or no new load, until then
+	quota             int           // calls that it may still be sent while cold, until quotaTill
+	quotaTill, goneAt time.Duration
+}
+
+type function struct {
+	name           string
+	class, lanes   int
+	version        int           // of the list that order was made from
+	served         bool          // some worker answered it
+	pool           *Pool         // of the workers that may have it
+	calls          float64       // decaying
+	mean           decay.Value   // excess of the running mean of served latencies over the aim, in seconds
+	slowest        decay.Peak    // slowest recent one
+	told, lastCall time.Duration // told: usual time of a load
+	pairs          []*pair
+	order          []*worker
+}
+
+// pair is what is known of a function at a worker.
+type pair struct {
+	w                 *worker
+	life, copies, out int
+	warm              bool
+	at                time.Duration // when last found warm
+	stays             float64       // 0 to 1: the least pressed is the first to leave
+	loading, ordered  bool          // a load that a call began, or that was ordered, is under way
+}
+
+type request struct {
+	Request
+	class                  *Class
+	fn                     *function
+	end, due               time.Duration // when the client gives up; the deadline that orders the queue
+	half                   time.Duration // half of the client's time, less what a look may be late
+	attempts               []*attempt
+	out                    int
+	done, streams, reached bool // reached: some attempt came as far as a worker
+}
+
+type attempt struct {
+	q                            *request
+	n                            int
+	w                            *worker
+	p                            *pair
+	sent, late                   time.Duration // late: when it is overdue
+	cost                         float64
+	cold, ended, rescued, proved bool // proved: it never ran
+}
