Compare pressed workers in quarters, so that small differences decide nothing

Seen: TestErrors failed in a clean clone: of two workers that answered alike the one that had been a little less pressed got every call, and the failing one was never met again.

Line at fault: choice.go, load, which took what presses a worker as a continuous figure; equal workers are drawn only where it is the same. It counts in quarters now.

--- a/choice.go
+++ b/choice.go
@@ -89,8 +89,10 @@
 }
 
 // load is how busy a worker is for its size, and pace how its latencies compare with those of all workers.
+// What presses it counts in quarters: less is noise, and all would go by it.
 func (r *Router) load(w *worker) float64 {
-	return (1 + float64(len(w.outs)) + w.others) / (w.Weight * r.ripeness(w)) * max(0.1, r.pressOf(w))
+	press := max(math.Round(4*r.pressOf(w)), 1)
+	return (1 + float64(len(w.outs)) + w.others) * press / (w.Weight * r.ripeness(w))
 }
 
 func (r *Router) paceOf(w *worker) float64 {
