Say in the comment on homes what has a worker left now

Read again: the comment spoke of company and slow answers, which decide nothing since pressed workers are left. Words only; the package's tests pass and nothing was measured again.

--- a/choice.go
+++ b/choice.go
@@ -135,8 +135,8 @@
 }
 
 // homes are the workers that a function is spread over: the first of its hash order, as many as its part of
-// the calls warrants, so that all schedulers choose much the same. Where answers came slowly while others had
-// calls for it there, the next in the order takes part too: a crowded worker looks crowded to all.
+// the calls warrants, so that all schedulers choose much the same. Where a worker is pressed, the next in the
+// order takes its place: it looks pressed to all.
 func (r *Router) homes(f *function) []*worker {
 	order, home := r.hashOrder(f), []*worker(nil)
 	// Few calls prove little: what chance alone could have brought is left out.
