Ask the list service at a time of each scheduler's own, decided by a pure core

Lines at fault: the constants patience, overdue, againMin and againMax of internal/bulletin, the same number at every scheduler, and Watch.overdue, which gave asks up that a service that is behind would have answered.

Ruled out: jitter on the pauses alone.

Change: internal/polling (no clock, no I/O) says when to dial and ask; Watch keeps the sockets. Each scheduler has one place in a window of the clock (20 ms a scheduler, 1.9 s at most), drawn at its start; polls after an event differ in length; a late ask keeps its place with at most one beside it; asks that bring nothing are 0.5 s apart; Retry-After is heeded up to 4 s. One alone asks as before.

--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -25,6 +25,7 @@
 	"calicohill/internal/loop"
 	"calicohill/internal/match"
 	"calicohill/internal/operator"
+	"calicohill/internal/polling"
 	"calicohill/internal/pools"
 	"calicohill/internal/settings"
 
@@ -142,7 +143,8 @@
 			peers.Listed(d.Listed())
 		}
 	}
-	watch, err := bulletin.New(l, cfg.Bulletin, cfg.Known, cfg.Site.Zones, cfg.Site.Kinds, list, parts.Part("bulletin"))
+	watch, err := bulletin.New(l, cfg.Bulletin, cfg.Known, cfg.Site.Zones, cfg.Site.Kinds,
+		polling.New(cfg.Site.Schedulers, cfg.Seed), list, parts.Part("bulletin"))
 	if err != nil {
 		return fmt.Errorf("configuration %s: %w", from.config, err)
 	}
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -13,26 +13,14 @@
 	"calicohill/internal/deadline"
 	"calicohill/internal/dispatch"
 	"calicohill/internal/loop"
+	"calicohill/internal/polling"
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
 )
 
-const (
-	// patience is how long a poll asks the bulletin to wait for news. Short, so that a bulletin which has
-	// fallen silent is noticed well before what it has to tell counts as told.
-	patience = 2 * time.Second
-	// overdue is how long after that another poll is made beside one that is not answered. The first stays: a
-	// slow bulletin may yet answer it, and might never answer one that is always given up in time.
-	overdue = 500 * time.Millisecond
-	// forsaken is how long after its making a poll is given up for good, and most how many there may be.
-	forsaken = 10 * time.Second
-	most     = 4
-	// againMin and againMax are the pauses before the next poll where polls fail.
-	againMin, againMax = 10 * time.Millisecond, 640 * time.Millisecond
-	// connectIn is how long a connection may take to come up.
-	connectIn = 250 * time.Millisecond
-)
+// connectIn is how long a connection may take to come up.
+const connectIn = 250 * time.Millisecond
 
 // Feed is the answer to a poll.
 type Feed struct {
@@ -93,7 +81,7 @@
 	Dial(addr string, timeout time.Duration, p loop.Peer, failed func(error))
 }
 
-// Watch keeps a poll open at the bulletin and hands what it brings to a sink.
+// Watch asks the bulletin when its Core says so, and hands what it brings to a sink.
 type Watch struct {
 	loop         Loop
 	addr         string
@@ -102,29 +90,27 @@
 	log          logrus.FieldLogger
 
 	known Feed
-	last  int           // number of the last event
-	bad   int           // number of an event that made no sense
-	conns []*conn       // with a poll made or about to be, the newest last
+	last  int // number of the last event
+	bad   int // number of an event that made no sense
+	core  *polling.Core
+	conns map[int]*conn // by the core's number
 	down  bool          // the last poll failed, and that was logged
-	pause time.Duration // before the next poll if this one fails
-	again deadline.Entry
+	next  deadline.Entry
 }
 
 // conn is a connection to the bulletin. It is its loop.Peer.
 type conn struct {
-	w      *Watch
-	c      gnet.Conn // nil until it is up and once it is gone
-	asked  time.Duration
-	silent bool // its poll is overdue, and another was made
-	late   deadline.Entry
+	w *Watch
+	n int
+	c gnet.Conn // nil until it is up and once it is gone
 }
 
 // New returns a Watch that does nothing until Start. The events known already come in the form of a poll's
 // answer.
-func New(l Loop, addr string, known []byte, zones, kinds []string, sink func(dispatch.Roster),
+func New(l Loop, addr string, known []byte, zones, kinds []string, core *polling.Core, sink func(dispatch.Roster),
 	log logrus.FieldLogger) (*Watch, error) {
-	w := &Watch{loop: l, addr: addr, zones: zones, kinds: kinds, sink: sink, log: log, pause: againMin}
-	w.again.Fire = w.connect
+	w := &Watch{loop: l, addr: addr, zones: zones, kinds: kinds, sink: sink, log: log, core: core, conns: map[int]*conn{}}
+	w.next.Fire = func() { w.step() }
 	if len(known) == 0 {
 		return w, nil
 	}
@@ -148,7 +134,7 @@
 		w.log.WithError(err).Error("known events") // New has read them once
 	}
 	w.known = Feed{}
-	w.connect()
+	w.step(polling.Begun{Listed: w.last > 0})
 }
 
 // Move has the bulletin asked at another address from now on. The numbers of its events go on. Polls at the old
@@ -157,12 +143,37 @@
 	if addr == w.addr {
 		return
 	}
-	w.addr, w.pause = addr, againMin
-	for len(w.conns) > 0 {
-		w.conns[0].leave()
+	w.addr = addr
+	w.step(polling.Moved{})
+}
+
+// step tells the core what happened and does what it says.
+func (w *Watch) step(events ...polling.Event) {
+	for _, a := range slices.Clone(w.core.Step(w.loop.Now(), events...)) {
+		switch a := a.(type) {
+		case polling.Dial:
+			c := &conn{w: w, n: a.Conn}
+			w.conns[a.Conn] = c
+			w.loop.Dial(w.addr, connectIn, c, func(err error) { c.fail(err, 0) })
+		case polling.Ask:
+			// A failed write closes the connection and is seen by Closed.
+			_, _ = w.conns[a.Conn].c.Write(fmt.Appendf(nil, "GET /bulletins?after=%d&patience=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
+				w.last, a.Patience.Milliseconds(), w.addr))
+		case polling.Close:
+			c := w.conns[a.Conn]
+			delete(w.conns, a.Conn)
+			if c.c != nil {
+				_ = c.c.EventLoop().Close(c.c)
+			}
+		case polling.Slow:
+			w.log.Warn("bulletin slow: polled once more")
+		}
+	}
+	if at, ok := w.core.Next(); ok {
+		w.loop.At(&w.next, at)
+	} else {
+		w.loop.Drop(&w.next)
 	}
-	w.loop.Drop(&w.again)
-	w.connect()
 }
 
 // take reads an answer and hands on its events.
@@ -197,80 +208,33 @@
 	return nil
 }
 
-// connect opens a connection for the next polls.
-func (w *Watch) connect() {
-	c := &conn{w: w, asked: w.loop.Now()}
-	c.late.Fire = c.overdue
-	w.conns = append(w.conns, c)
-	w.loop.Dial(w.addr, connectIn, c, func(err error) { c.fail(err) })
-}
+// open reports whether a connection has not been given up.
+func (c *conn) open() bool { return c.w.conns[c.n] == c }
 
-// fail gives up a connection, and has a poll made on a new one if no other is waiting.
-func (c *conn) fail(err error) {
+// fail gives up a connection. after is how long the bulletin asked to be left alone.
+func (c *conn) fail(err error, after time.Duration) {
 	w := c.w
-	if !c.leave() {
+	if !c.open() {
 		return
 	}
 	if !w.down {
 		w.down = true
 		w.log.WithError(err).Warn("bulletin not heard")
 	}
-	if len(w.conns) == 0 || w.conns[len(w.conns)-1].silent {
-		w.loop.At(&w.again, w.loop.Now()+w.pause)
-		w.pause = min(2*w.pause, againMax)
-	}
-}
-
-// leave takes a connection out and closes it. It reports false for one that had left before.
-func (c *conn) leave() bool {
-	i := slices.Index(c.w.conns, c)
-	if i < 0 {
-		return false
-	}
-	c.w.conns = slices.Delete(c.w.conns, i, i+1)
-	c.w.loop.Drop(&c.late)
-	if c.c != nil {
-		_ = c.c.EventLoop().Close(c.c)
-	}
-	return true
+	w.step(polling.Failed{Conn: c.n, After: after})
 }
 
-// overdue makes another poll beside one that is not answered, and in the end gives the old one up.
-func (c *conn) overdue() {
-	w := c.w
-	if c.silent {
-		c.fail(errors.New("no answer"))
-		return
-	}
-	c.silent = true
-	w.log.Warn("bulletin slow: polled once more")
-	w.loop.At(&c.late, c.asked+forsaken)
-	if len(w.conns) >= most {
-		w.conns[0].leave()
-	}
-	w.connect()
-}
-
-// Open makes the first poll of a connection.
+// Open reports a connection that is up.
 func (c *conn) Open(gc gnet.Conn) {
 	c.c = gc
-	if !slices.Contains(c.w.conns, c) { // given up before it was up
+	if !c.open() { // given up before it was up
 		_ = gc.EventLoop().Close(gc)
 		return
 	}
-	c.poll()
+	c.w.step(polling.Up{Conn: c.n})
 }
 
-func (c *conn) poll() {
-	w := c.w
-	c.asked, c.silent = w.loop.Now(), false
-	w.loop.At(&c.late, c.asked+patience+overdue)
-	// A failed write closes the connection and is seen by Closed.
-	_, _ = c.c.Write(fmt.Appendf(nil, "GET /bulletins?after=%d&patience=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
-		w.last, patience.Milliseconds(), w.addr))
-}
-
-// Traffic reads the answer to a poll and makes the next.
+// Traffic reads the answer to a poll.
 func (c *conn) Traffic(gc gnet.Conn) error {
 	w := c.w
 	b, err := gc.Peek(-1)
@@ -281,30 +245,24 @@
 	if err == nil && n == 0 {
 		return nil
 	}
+	before := w.last
 	if err == nil {
 		err = w.take(body)
 	}
 	if err != nil {
-		c.fail(err)
+		var sent away
+		errors.As(err, &sent)
+		c.fail(err, sent.after)
 		return nil
 	}
 	if _, err := gc.Discard(n); err != nil {
 		return fmt.Errorf("reading on: %w", err)
 	}
-	w.pause = againMin
 	if w.down {
 		w.down = false
 		w.log.Info("bulletin heard again")
 	}
-	switch {
-	case c.silent: // another poll waits already
-		c.leave()
-	case last:
-		c.leave()
-		w.connect()
-	default:
-		c.poll()
-	}
+	w.step(polling.Answered{Conn: c.n, News: w.last > before, Last: last})
 	return nil
 }
 
@@ -314,5 +272,5 @@
 	if err == nil {
 		err = errors.New("closed")
 	}
-	c.fail(err)
+	c.fail(err, 0)
 }
--- a/internal/bulletin/http.go
+++ b/internal/bulletin/http.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Limits on what the bulletin may answer.
@@ -21,6 +22,27 @@
 	maxChunk = 64 // of a chunk's head
 )
 
+// away is an answer that is no list. after is how long the bulletin asks to be left alone; 0 if it does not.
+type away struct {
+	status string
+	after  time.Duration
+}
+
+func (a away) Error() string { return fmt.Sprintf("status %.40q", a.status) }
+
+// retryAfter is what the header Retry-After of an answer says in seconds (RFC 9110, 10.2.3); 0 without it, and where
+// it gives a date: clocks differ.
+func retryAfter(head []string) time.Duration {
+	for _, l := range head {
+		name, value, _ := strings.Cut(l, ":")
+		if strings.EqualFold(name, "retry-after") {
+			s, _ := strconv.ParseUint(strings.TrimSpace(value), 10, 16)
+			return time.Duration(s) * time.Second
+		}
+	}
+	return 0
+}
+
 // parse reads the HTTP answer that a buffer begins with. n is how many bytes it takes, 0 if it is not whole
 // yet; last reports that the connection ends with it.
 //
@@ -39,7 +61,7 @@
 		return nil, 0, false, fmt.Errorf("%w: %.40q", errHTTP, lines[0])
 	}
 	if !strings.HasPrefix(status, "200") {
-		return nil, 0, false, fmt.Errorf("status %.40q", status)
+		return nil, 0, false, away{status, retryAfter(lines[1:])}
 	}
 	length, chunked := -1, false
 	last = version == "HTTP/1.0"
--- /dev/null
+++ b/internal/lab/asks.go
@@ -0,0 +1,185 @@
+package lab
+
+import (
+	"slices"
+	"time"
+
+	"calicohill/internal/deadline"
+	"calicohill/internal/polling"
+)
+
+// Asks is a fleet of schedulers before a list service, in virtual time: the cores that decide when to ask, and
+// nothing else of a scheduler.
+type Asks struct {
+	Now      time.Duration
+	Desk     Desk
+	Nodes    []*Asker
+	Dials    []time.Duration // of connections that came up
+	Polls    []time.Duration // asks that reached the service
+	deadline deadline.Queue
+	look     deadline.Entry
+}
+
+// Asker is one scheduler.
+type Asker struct {
+	Knows int             // number of its last event
+	Told  time.Duration   // when it had that
+	Polls []time.Duration // asks that it sent
+	core  *polling.Core
+	fleet *Asks
+	wake  deadline.Entry
+	conns map[int]*Inquiry // nil where nothing is asked
+}
+
+// trip is how long a message takes in virtual time.
+const trip = time.Millisecond
+
+// NewAsks is a fleet that begins at one o'clock. With listed each has the first event.
+func NewAsks(schedulers int, seed uint64, listed bool) *Asks {
+	f := &Asks{Now: time.Hour, Desk: Desk{Mood: Well, Number: 1}}
+	f.look.Fire = f.answer
+	for i := range schedulers {
+		n := &Asker{fleet: f, core: polling.New(schedulers, seed<<20+uint64(i)), conns: map[int]*Inquiry{}}
+		n.wake.Fire = func() { n.step() }
+		f.Nodes = append(f.Nodes, n)
+		if listed {
+			n.Knows = 1
+		}
+		f.After(0, func() { n.step(polling.Begun{Listed: listed}) })
+	}
+	return f
+}
+
+// After has something done at a later time.
+func (f *Asks) After(d time.Duration, do func()) { f.deadline.Set(&deadline.Entry{Fire: do}, f.Now+d) }
+
+// Run plays on.
+func (f *Asks) Run(d time.Duration) {
+	for end := f.Now + d; ; {
+		at, ok := f.deadline.Next()
+		if !ok || at > end {
+			f.Now = end
+			return
+		}
+		f.Now = max(f.Now, at)
+		f.deadline.Due(f.Now).Fire()
+	}
+}
+
+// Set gives the service a mood.
+func (f *Asks) Set(m Mood) {
+	f.Desk.Mood = m
+	if m == Refuse {
+		f.Break()
+	}
+	f.answer()
+}
+
+// Break breaks all connections.
+func (f *Asks) Break() {
+	f.Desk.all()
+	for _, n := range f.Nodes {
+		for c := range n.conns {
+			delete(n.conns, c)
+			f.After(trip, func() { n.step(polling.Failed{Conn: c}) })
+		}
+	}
+}
+
+// Tell has the service tell one event more.
+func (f *Asks) Tell() {
+	f.Desk.Number++
+	f.answer()
+}
+
+func (f *Asks) answer() {
+	due, next := f.Desk.Due(f.Now)
+	for _, q := range due {
+		q.Answer()
+	}
+	if next > 0 {
+		f.deadline.Set(&f.look, next)
+	}
+}
+
+// hear has a node get an answer, or what stands for it in the service's mood.
+func (n *Asker) hear(conn, number int) {
+	f := n.fleet
+	mood := f.Desk.Mood
+	f.After(trip, func() {
+		if _, open := n.conns[conn]; !open {
+			return
+		}
+		news := number > n.Knows
+		switch {
+		case mood == Busy:
+			delete(n.conns, conn)
+			n.step(polling.Failed{Conn: conn, After: 2 * time.Second})
+		case mood == Torn && news:
+			delete(n.conns, conn)
+			n.step(polling.Failed{Conn: conn})
+		default:
+			if news {
+				n.Knows, n.Told = number, f.Now
+			}
+			n.step(polling.Answered{Conn: conn, News: news})
+		}
+	})
+}
+
+func (n *Asker) step(events ...polling.Event) {
+	f := n.fleet
+	for _, a := range slices.Clone(n.core.Step(f.Now, events...)) {
+		switch a := a.(type) {
+		case polling.Dial:
+			f.After(trip, func() {
+				if f.Desk.Mood == Refuse {
+					n.step(polling.Failed{Conn: a.Conn})
+					return
+				}
+				f.Dials = append(f.Dials, f.Now)
+				n.conns[a.Conn] = nil
+				n.step(polling.Up(a))
+			})
+		case polling.Ask:
+			n.Polls = append(n.Polls, f.Now)
+			q := &Inquiry{After: n.Knows, Till: f.Now + trip + a.Patience, Answer: func() {
+				n.conns[a.Conn] = nil
+				n.hear(a.Conn, f.Desk.Number)
+			}}
+			n.conns[a.Conn] = q
+			f.After(trip, func() {
+				if n.conns[a.Conn] == q {
+					f.Polls = append(f.Polls, f.Now)
+					f.Desk.Take(q)
+					f.answer()
+				}
+			})
+		case polling.Close:
+			if q := n.conns[a.Conn]; q != nil {
+				f.Desk.Drop(q)
+			}
+			delete(n.conns, a.Conn)
+		}
+	}
+	if at, ok := n.core.Next(); ok {
+		f.deadline.Set(&n.wake, at)
+	} else {
+		f.deadline.Drop(&n.wake)
+	}
+}
+
+// Peak is the most of these times within a tenth of a second from a time on.
+func Peak(times []time.Duration, from time.Duration) (most int) {
+	times = slices.Sorted(slices.Values(times))
+	first := 0
+	for i, t := range times {
+		for t-times[first] >= 100*time.Millisecond {
+			first++
+		}
+		if times[first] >= from {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
