Send nothing by an old list after a stall, and nothing whose time ran out meanwhile

Ruled out: the order of reading in a pass of the loop (the list's bytes are read before a Step), and a connection that came up during the stop.

Lines at fault: none looked for a stall; Dispatcher.May did not look at the request's time either, so an attempt that waited for a connection through a stop was written after its client had left.

May asks for the attempt's time too.

TestStalled, TestNothingIsSentByAnOldList fail without it.

--- a/api.go
+++ b/api.go
@@ -141,7 +141,8 @@
 }
 
 // Event is something that a Router is told. The concrete types are WorkerList, Request, StreamStart,
-// AttemptEnd, Abandoned, TimerFired, ProbeEnd, LoadEnd, PeerMessage, PeersHold and PoolsChanged.
+// AttemptEnd, Abandoned, TimerFired, ProbeEnd, LoadEnd, PeerMessage, PeersHold, PoolsChanged and
+// ListOld.
 type Event interface{ event() }
 
 // ListKind tells how to read a WorkerList.
@@ -217,6 +218,10 @@
 // Has reports whether a worker belongs to a pool; every worker belongs to no pool.
 func (p *Pool) Has(worker string) bool { return p == nil || p.Workers[worker] }
 
+// ListOld says for how long the list may be old, from now: nobody heard of its changes for a while. Nothing is sent
+// until then, or until another says 0.
+type ListOld struct{ For time.Duration }
+
 // PoolsChanged says that some Pool has other workers than before.
 type PoolsChanged struct{}
 
@@ -350,6 +355,7 @@
 func (PeerMessage) event()  {}
 func (PeersHold) event()    {}
 func (PoolsChanged) event() {}
+func (ListOld) event()      {}
 
 // Action is something that a Router asks for, to be done in the order given. The concrete types are Send,
 // Cancel, Refuse, Fail, SetTimer, Probe, Load, Unload, Subscribe, FetchList and, where Settings.Observed, Observe.
--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -195,7 +195,7 @@
 		log.WithField("bulletin", next.Bulletin).Info("configuration read again")
 	}
 	draining := false
-	l.Accept = server.Accept
+	l.Accept, l.Stalled, watch.Blind = server.Accept, watch.Stalled, d.Blind
 	l.Boot = func() {
 		watch.Start()
 		if peers != nil {
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -88,6 +88,8 @@
 	zones, kinds []string
 	sink         func(dispatch.Roster)
 	log          logrus.FieldLogger
+	// Blind, if set, is told for how long the list may be old, after a stall; 0 says that it is not any more.
+	Blind func(time.Duration)
 
 	known Feed
 	last  int // number of the last event
@@ -147,6 +149,9 @@
 	w.step(polling.Moved{})
 }
 
+// Stalled says that the process did nothing for a while.
+func (w *Watch) Stalled() { w.step(polling.Stalled{}) }
+
 // step tells the core what happened and does what it says.
 func (w *Watch) step(events ...polling.Event) {
 	for _, a := range slices.Clone(w.core.Step(w.loop.Now(), events...)) {
@@ -165,6 +170,10 @@
 			if c.c != nil {
 				_ = c.c.EventLoop().Close(c.c)
 			}
+		case polling.Blind:
+			if w.Blind != nil {
+				w.Blind(a.For)
+			}
 		case polling.Slow:
 			w.log.Warn("bulletin slow: polled once more")
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -154,6 +154,7 @@
 	n      int
 	worker string
 	sent   time.Duration
+	until  time.Duration // its time is over then
 	late   deadline.Entry
 }
 
@@ -305,11 +306,11 @@
 	d.tell(calicohill.ProbeEnd{Worker: worker, Outcome: e.Outcome, Latency: took, Report: e.Report})
 }
 
-// May reports whether an attempt may still be written. The client may have left, or the worker begun to drain,
-// since the Router was told last.
+// May reports whether an attempt may still be written. The client may have left, its time be over after a stall, or
+// the worker have begun to drain, since the Router was told last.
 func (d *Dispatcher) May(ref slot.Ref) bool {
 	a, ok := d.attempts.Get(ref)
-	return ok && !a.q.done && d.states[a.worker] == calicohill.Ready
+	return ok && !a.q.done && d.loop.Now() < a.until && d.states[a.worker] == calicohill.Ready
 }
 
 // ---- the list ----
@@ -339,6 +340,9 @@
 	d.workers.Follow(r)
 }
 
+// Blind says for how long the list may be old, from now; 0 that it is not.
+func (d *Dispatcher) Blind(lasts time.Duration) { d.tell(calicohill.ListOld{For: lasts}) }
+
 // ---- the Router ----
 
 // tell keeps an event for the Step that ends this pass of the loop.
@@ -427,7 +431,7 @@
 	if s.Timeout > 0 {
 		until = min(until, now+s.Timeout)
 	}
-	if until <= now || !d.May(a.ref) {
+	if a.until = until; !d.May(a.ref) {
 		d.end(a, End{Outcome: calicohill.Unsent, Company: -1})
 		return
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -29,6 +29,9 @@
 	Accept func(c gnet.Conn) Peer // state for a connection that came in; nil turns it away
 	Boot   func()                 // called first of all on the loop
 	Logger logging.Logger
+	// Stalled, if set, is called first of all when the loop did nothing for long though it was due: the process was
+	// stopped, or had no processor.
+	Stalled func()
 
 	addr      string // that is listened at
 	start     time.Time
@@ -43,6 +46,9 @@
 	err       error
 }
 
+// stall is how late a deadline has to be noticed for that.
+const stall = 300 * time.Millisecond
+
 // New returns a Loop.
 func New() *Loop {
 	now := time.Now()
@@ -85,6 +91,7 @@
 func (l *Loop) Post(fn func()) {
 	// The only error is that the engine has stopped, and then nothing needs to be called.
 	_ = l.events.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		l.wake()
 		fn()
 		l.settle()
 		return nil
@@ -114,6 +121,14 @@
 	}()
 }
 
+// wake begins a turn of the loop.
+func (l *Loop) wake() {
+	if l.armed > 0 && l.Stalled != nil && l.Now() > l.armed+stall {
+		l.armed = 0
+		l.Stalled()
+	}
+}
+
 // settle has what is due called, and sets the timer for what is not. It ends every turn of the loop.
 //
 // What is due is called after the connections that have something to read in this pass: after a stall an answer
@@ -191,6 +206,7 @@
 		l.timer = time.AfterFunc(time.Hour, func() { l.Post(func() { l.armed = 0; l.fire() }) })
 		l.Boot()
 	}
+	l.wake()
 	p, ok := c.Context().(Peer)
 	if !ok {
 		if p = l.Accept(c); p == nil {
@@ -205,6 +221,7 @@
 
 // OnTraffic is called when bytes have come.
 func (l *Loop) OnTraffic(c gnet.Conn) gnet.Action {
+	l.wake()
 	p, ok := c.Context().(Peer)
 	if !ok {
 		return gnet.Close
--- a/internal/polling/polling.go
+++ b/internal/polling/polling.go
@@ -44,11 +44,13 @@
 	heeded = 4 * time.Second
 	// hasty is how long after an ask the next may be made if the answer brought nothing.
 	hasty = 500 * time.Millisecond
+	// blindFor is how long the word of the service is waited for after a stall.
+	blindFor = 250 * time.Millisecond
 	// rate and burst bound the asks of a second, whatever the answers bring.
 	rate, burst = 20, 40
 )
 
-// Event is what happened: a Begun, Up, Answered, Failed or Moved.
+// Event is what happened: a Begun, Up, Answered, Failed, Moved or Stalled.
 type Event any
 
 // Begun is the start. Listed reports that a list of workers is known already.
@@ -74,7 +76,10 @@
 // Moved says that the service is at another address.
 type Moved struct{}
 
-// Action is what is to be done: a Dial, Ask, Close or Slow.
+// Stalled says that the process did nothing for a while: it was stopped, or had no processor.
+type Stalled struct{}
+
+// Action is what is to be done: a Dial, Ask, Close, Slow or Blind.
 type Action any
 
 // Dial opens a connection, which gets that number. Up or Failed follows.
@@ -92,6 +97,10 @@
 // Slow says that an ask is late and another is made beside it.
 type Slow struct{}
 
+// Blind says that the list may be old for so long from now, unless another Blind says 0 before: nobody listened to the
+// service, and what it told meanwhile counts as told.
+type Blind struct{ For time.Duration }
+
 type phase int
 
 const (
@@ -105,6 +114,7 @@
 	conn    int
 	phase   phase
 	at      time.Duration // when the ask was made; while resting, when the next is
+	till    time.Duration // how long the service may wait with the answer
 	overdue time.Duration // when it counts as late
 }
 
@@ -120,6 +130,7 @@
 	pause              time.Duration // after the next failure; 0 if the last ask went well
 	inStep             bool          // the whole fleet may just have been answered
 	slow               bool          // the last answer came late, or there was none yet
+	blind              bool          // the service's word on what came during a stall is waited for
 	asks               bucket.Bucket
 	conns              int
 	out                []Action
@@ -159,6 +170,8 @@
 			c.shut(&c.late)
 			c.shut(&c.current)
 			c.pause, c.again = 0, c.turn(now)
+		case Stalled:
+			c.stalled(now)
 		}
 	}
 	for at, ok := c.Next(); ok && at <= now; at, ok = c.Next() {
@@ -216,7 +229,10 @@
 		off := min(patienceOff, c.window)
 		patience = min(patience, longest-off) + c.within(2*off) - off
 	}
-	a.phase, a.at, a.overdue = asked, now, now+patience+grace
+	if c.blind { // whether it has news or not
+		patience = 0
+	}
+	a.phase, a.at, a.till, a.overdue = asked, now, now+patience, now+patience+grace
 	c.inStep = false
 	c.out = append(c.out, Ask{a.conn, patience})
 }
@@ -235,14 +251,20 @@
 	if a == nil || a.conn != e.Conn || a.phase != asked {
 		return
 	}
+	if c.blind {
+		c.blind = a.at < a.till // a wait that began before the stall
+		if !c.blind {
+			c.out = append(c.out, Blind{0})
+		}
+	}
 	c.slow = c.late != nil || now > a.overdue
 	c.shut(&c.late)
 	c.pause = 0
 	next := now
-	if !e.News {
+	if !e.News && a.at < a.till {
 		next = max(now, a.at+hasty)
 	}
-	if c.inStep = c.inStep || e.News || c.slow; c.inStep {
+	if c.inStep = c.inStep || e.News || c.slow; c.inStep && !c.blind {
 		next += c.within(c.newsWindow)
 	}
 	if e.Last {
@@ -253,6 +275,24 @@
 	a.phase, a.at = resting, next
 }
 
+// stalled has the service asked at once, unless it waits with an answer: what it told would be there to be read.
+func (c *Core) stalled(now time.Duration) {
+	a := c.current
+	if a != nil && a.phase == asked && now < a.till {
+		return
+	}
+	c.blind = true
+	c.out = append(c.out, Blind{blindFor})
+	switch {
+	case a == nil && c.pause == 0:
+		c.again = now
+	case a != nil && a.phase == resting:
+		a.at = now
+	case a != nil: // its answer may not be read yet
+		a.overdue = max(a.overdue, now+blindFor)
+	}
+}
+
 func (c *Core) failed(now time.Duration, e Failed) {
 	if c.late != nil && c.late.conn == e.Conn {
 		c.shut(&c.late)
--- a/internal/polling/polling_test.go
+++ b/internal/polling/polling_test.go
@@ -132,6 +132,45 @@
 	}
 }
 
+// A process that was stopped does not know what was told meanwhile. The list counts as old until the service has
+// answered an ask made after that, unless one waits there still: what it told would be there to be read.
+func TestStalled(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		stop func(*polling.Core, time.Duration) time.Duration // when it goes on
+		want bool                                             // that it is blind
+	}{
+		{"while an ask waits", func(_ *polling.Core, now time.Duration) time.Duration { return now + time.Second }, false},
+		{"past the end of its wait", func(_ *polling.Core, now time.Duration) time.Duration { return now + 9*time.Second }, true},
+		{"between two asks", func(c *polling.Core, now time.Duration) time.Duration {
+			c.Step(now, polling.Answered{Conn: 1, News: true})
+			return now + 600*time.Millisecond
+		}, true},
+	} {
+		now := time.Hour
+		core := polling.New(300, 1)
+		core.Step(now, polling.Begun{})
+		core.Step(now, polling.Up{Conn: 1})
+		now = c.stop(core, now)
+		got := core.Step(now, polling.Stalled{})
+		if blind := len(got) > 0 && got[0] == (polling.Blind{For: 250 * time.Millisecond}); blind != c.want {
+			t.Errorf("%s: %v, want blind %v", c.name, got, c.want)
+		}
+		if !c.want {
+			continue
+		}
+		if asked := len(got) == 2 && got[1] == (polling.Ask{Conn: 1}); !asked {
+			// The old ask is answered first, and the next is made at once, for an answer at once.
+			if got = core.Step(now+1, polling.Answered{Conn: 1}); len(got) != 1 || got[0] != (polling.Ask{Conn: 1}) {
+				t.Errorf("%s: on the answer to the old ask %v", c.name, got)
+			}
+		}
+		if got = core.Step(now+2, polling.Answered{Conn: 1}); len(got) != 2 || got[0] != (polling.Blind{}) {
+			t.Errorf("%s: on the answer %v", c.name, got)
+		}
+	}
+}
+
 // Who has no list asks before all others.
 func TestUnlistedFirst(t *testing.T) {
 	for _, n := range []int{1, 300} {
--- a/router.go
+++ b/router.go
@@ -90,6 +90,7 @@
 	served                       float64
 	perWeight                    decay.Mean
 	servedAt, askAgain, lastCall time.Duration
+	blindTill                    time.Duration // nothing is sent until then: the list may be old
 }
 
 // New returns a Router for these settings. All its randomness comes from the seed.
@@ -136,6 +137,8 @@
 			r.loaded(e)
 		case PeersHold:
 			r.heed(e)
+		case ListOld:
+			r.blindTill = now + e.For
 		case PoolsChanged:
 			r.version++
 		case TimerFired:
--- a/router_test.go
+++ b/router_test.go
@@ -349,6 +349,29 @@
 	}
 }
 
+// After a stall nothing is sent until the list is known to be good again, or that takes too long; what cannot wait so
+// long is refused in time.
+func TestNothingIsSentByAnOldList(t *testing.T) {
+	b := newBed(t, settings(), fleet(2)...)
+	b.step(ms, ListOld{For: 250 * ms})
+	if got := only[Send](append(b.step(ms, call("a", "f")), b.wait(200*ms)...)); len(got) > 0 {
+		t.Fatalf("sent by a list that may be old: %v", got)
+	}
+	if got := only[Send](b.step(ms, ListOld{})); len(got) != 1 {
+		t.Errorf("%d sends once the list is good, want 1", len(got))
+	}
+	b.step(ms, ListOld{For: 250 * ms})
+	short := call("b", "f")
+	short.TimeLeft = 100 * ms
+	got := append(b.step(ms, short, call("c", "g")), b.wait(300*ms)...)
+	if s := only[Send](got); len(s) != 1 || s[0].ID != "c" {
+		t.Errorf("sent after the bound on waiting: %v, want c alone", s)
+	}
+	if r := only[Refuse](got); len(r) != 1 || r[0].ID != "b" {
+		t.Errorf("refused: %v, want b, whose time ran out", r)
+	}
+}
+
 // Rule 4: a cold worker's budget holds in every window, with bursts, and falls with the schedulers' number.
 func TestColdBudget(t *testing.T) {
 	b := newBed(t, settings(), ready("w0", 0))
--- a/rules.go
+++ b/rules.go
@@ -79,7 +79,7 @@
 
 // send is the only place that starts an attempt.
 func (r *Router) send(q *request, w *worker, warm bool) bool {
-	if !r.maySend(q, w) {
+	if r.now < r.blindTill || !r.maySend(q, w) {
 		return false
 	}
 	p := q.fn.pair(w)
