Play cold starts with hundreds of processes and faults between them: bin/lab coldstart

What reaches the list service and the workers when hundreds of schedulers ask at once was counted nowhere.

The front leaves who ends or died, as the platform's does. Each fleet has a loopback host of its own: two fleets that were given the same port served each other's clients (SO_REUSEPORT), which looked like certificado run twice until the ids were followed.

--- /dev/null
+++ b/cmd/calicohill/coldstart_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"os"
+	"testing"
+
+	"calicohill/internal/lab"
+)
+
+// Two dozen schedulers as processes, told that they are 24 of 300, before a list service and workers in trouble. None
+// of it brings more than a few of them to the list service at once, and no rule is broken.
+func TestColdStarts(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts 24 processes a scenario")
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name    string
+		seconds float64
+		peak    int // asks within 100 ms; 0 where a start of all or an event is among the troubles
+		script  string
+	}{
+		// Before asks had times of their own 23 or 24 of 24 came within 100 ms in each of the first four.
+		{"refused", 9, 12, "0s known full\n0s list refuse\n0s start 1\n5s list well"},
+		{"silent", 12, 12, "0s known full\n0s start 1\n3s list silent\n9s list well"},
+		{"broken", 9, 12, "0s known full\n0s start 1\n3s break\n6s break"},
+		{"in step after an event", 9, 14, "0s known full\n0s start 1\n3s tell"},
+		{"behind while workers drain", 16, 12, "0s known full\n0s start 1\n3s list crowded 0.3\n4s drain 0.2\n12s list well"},
+		{"release during a stall", 14, 0, "0s known full\n0s start 1\n3s list silent\n4s replace 0.2\n4s roll 0.25 1s\n9s list well"},
+		{"killed while workers are cut", 13, 0, "0s known full\n0s start 1\n3s workers mute 0.2\n3s kill 0.7\n4s start 1\n8s workers sound 0.2"},
+		{"half stopped", 13, 0, "0s known full\n0s start 1\n3s stop 0.5\n4s drain 0.1\n7s cont 0.5"},
+		{"slow list, slow workers", 14, 0, "0s known full\n0s start 1\n3s workers stalls 0.3\n3s list crowded 0.3\n4s drain 0.1\n9s list well\n9s workers sound 0.3"},
+		{"ended at their start", 9, 0, "0s known full\n0s list silent\n0s start 1\n1s term 0.5\n3s list well\n4s start 1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			script, err := lab.ParseScenario(c.script)
+			if err != nil {
+				t.Fatal(err)
+			}
+			day := lab.ColdDay{Program: self, Env: []string{"CALICOHILL_AS_PROGRAM=1"}, Dir: t.TempDir(), Instances: 24, Of: 300,
+				Workers: 10, Scenario: script, Seconds: c.seconds, Rate: 60, Seed: 1, Say: func(s string) { t.Log(s) }}
+			r, err := day.Run(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range r.Program.RulesBroken {
+				t.Error(b)
+			}
+			if r.Program.AllListed < 0 {
+				t.Error("some schedulers did not hear the list again")
+			}
+			if c.peak > 0 && r.Program.PollsPeak > c.peak {
+				t.Errorf("%d of 24 asked within 100 ms", r.Program.PollsPeak)
+			}
+		})
+	}
+}
--- a/cmd/calicohill/peers_test.go
+++ b/cmd/calicohill/peers_test.go
@@ -322,8 +322,7 @@
 	})
 
 	// Another with the name and the key of n1, at other addresses.
-	twin := *f.Instances[1]
-	twin.Log = nil
+	twin := f.Instances[1].Twin()
 	if err := twin.Move(); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -8,8 +8,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/signal"
+	"slices"
+	"strings"
 	"syscall"
 
 	"calicohill/internal/lab"
@@ -21,7 +24,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "lab", Short: "The laboratory of calicohill", SilenceErrors: true, SilenceUsage: true}
-	root.AddCommand(gossipCommand(), matchCommand())
+	root.AddCommand(gossipCommand(), matchCommand(), coldstartCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "lab:", err)
 		stop()
@@ -124,6 +127,65 @@
 	return cmd
 }
 
+func coldstartCommand() *cobra.Command {
+	var d lab.ColdDay
+	var asJSON bool
+	var scenario, plotTo string
+	names := slices.Sorted(maps.Keys(lab.ColdStarts))
+	cmd := &cobra.Command{
+		Use: "coldstart", Short: "Many schedulers at once before a list service and workers that have trouble",
+		Long: "Many schedulers at once before a list service and workers that have trouble.\n\n" +
+			"A scenario is one of " + strings.Join(names, ", ") + ", or a file with a script of the same form.",
+		Example: "  bin/lab coldstart --instances 300 --workers 60 --scenario crowded --baseline ../earlier/bin/calicohill --json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) (err error) {
+			if d.Instances < 1 || d.Workers < 1 || d.Seconds < 1 || d.Rate <= 0 {
+				return errors.New("at least 1 instance, 1 worker, 1 second and a rate are needed")
+			}
+			text, ok := lab.ColdStarts[scenario]
+			if !ok {
+				b, err := os.ReadFile(scenario)
+				if err != nil {
+					return fmt.Errorf("scenario: %w", err)
+				}
+				text = string(b)
+			}
+			if d.Scenario, err = lab.ParseScenario(text); err != nil {
+				return err
+			}
+			if d.Program == "" {
+				if d.Program, err = lab.Beside(); err != nil {
+					return err
+				}
+			}
+			d.Say = func(line string) { fmt.Fprintln(cmd.ErrOrStderr(), line) }
+			r, err := d.Run(cmd.Context())
+			if err != nil {
+				return err
+			}
+			if plotTo != "" {
+				if err := r.Plot(plotTo); err != nil {
+					return err
+				}
+			}
+			return show(cmd.OutOrStdout(), asJSON, r)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&d.Program, "program", "", "the scheduler; the one beside this program if not set")
+	f.StringVar(&d.Baseline, "baseline", "", "an earlier build that plays the same first")
+	f.IntVar(&d.Instances, "instances", 24, "schedulers")
+	f.IntVar(&d.Of, "of", 0, "how many schedulers they are told that there are; those that there are if not set")
+	f.IntVar(&d.Workers, "workers", 14, "stand-in workers")
+	f.StringVar(&scenario, "scenario", "well", "a name, or a `FILE`")
+	f.Float64Var(&d.Seconds, "seconds", 20, "how long each run lasts")
+	f.Float64Var(&d.Rate, "rate", 240, "requests a second, of all instances")
+	f.Uint64Var(&d.Seed, "seed", 1, "of load and faults")
+	f.StringVar(&plotTo, "plot", "", "`FILE`, .svg or .png, for a plot of asks and connections over time")
+	f.BoolVar(&asJSON, "json", false, "print one JSON object in a line")
+	return cmd
+}
+
 // show prints a result, as one line or for people.
 func show(out io.Writer, oneLine bool, result any) error {
 	e := json.NewEncoder(out)
--- /dev/null
+++ b/internal/lab/coldstart.go
@@ -0,0 +1,317 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// ColdStarts is the scenarios of 'lab coldstart' by name.
+var ColdStarts = map[string]string{
+	"well":    "0s known full\n0s start 1\n8s tell",
+	"empty":   "0s known empty\n0s start 1\n8s tell",
+	"old":     "0s drain 0.2\n0s known old\n0s start 1\n8s tell",
+	"refused": "0s known full\n0s list refuse\n0s start 1\n10s list well",
+	"busy":    "0s known full\n0s list busy\n0s start 1\n10s list well",
+	"crowded": "0s drain 0.2\n0s known old\n0s list crowded 0.1\n0s start 1",
+	"silent":  "0s known full\n0s start 1\n5s list silent\n19s list well",
+	"broken":  "0s known full\n0s start 1\n6s break\n12s break",
+	"torn":    "0s known full\n0s start 1\n5s list torn\n5s drain 0.1\n9s list well",
+	"roll":    "0s known full\n0s start 1\n5s replace 0.2\n5s roll 0.1 1s\n16s tell",
+	"herd":    "0s known full\n0s start 1\n6s kill 0.7\n7s start 1",
+	"cut":     "0s known full\n0s start 1\n6s workers mute 0.2\n6s kill 0.7\n7s start 1\n12s workers sound 0.2",
+	"stopped": "0s known full\n0s start 1\n6s stop 0.5\n11s cont 0.5",
+	"slow":    "0s known full\n0s start 1\n5s workers stalls 0.3\n5s list crowded 0.2\n6s drain 0.1\n12s workers sound 0.3",
+}
+
+// ColdDay is a fleet's cold start, or another trouble that makes all its schedulers ask at once.
+type ColdDay struct {
+	Program   string
+	Baseline  string // an earlier build to play the same with; "" for none
+	Env       []string
+	Dir       string // for files; a new one if not set
+	Instances int
+	Of        int // how many schedulers they are told that there are; 0 for those that there are
+	Workers   int
+	Scenario  Scenario
+	Seconds   float64
+	Rate      float64 // requests a second, of all
+	Seed      uint64
+	Say       func(string)
+}
+
+// ColdResult is what a ColdDay gave.
+type ColdResult struct {
+	Program  ColdCourse  `json:"program"`
+	Baseline *ColdCourse `json:"baseline,omitempty"`
+}
+
+// ColdCourse is what it gave with one build. Times are in milliseconds, shares parts of 1.
+type ColdCourse struct {
+	PollsPeak     int      `json:"polls_peak_100ms"`          // the most asks within any 100 ms
+	PollsEven     float64  `json:"polls_even_100ms"`          // one of each scheduler, spread over the protocol's 2 s
+	PollsSent     int      `json:"polls_sent"`                // until each had the last event
+	PollsNeeded   int      `json:"polls_needed"`              // one, and one more for each 7 s that it waited
+	ConnectsPeak  int      `json:"connects_peak_100ms"`       // at the list service
+	Connects      int      `json:"connects"`                  // there, over the day
+	Bytes         int      `json:"list_bytes"`                // of lists, over the day
+	AllListed     float64  `json:"all_listed_ms"`             // from the last trouble's end until all had asked or got the last event
+	Limit         float64  `json:"limit_ms"`                  // what the service's capacity allows at best
+	AgentConnects int      `json:"agent_connects_peak_100ms"` // at the worker that saw the most
+	Handshakes    float64  `json:"handshakes_per_scheduler"`
+	Loads         int      `json:"loads"`
+	Served        float64  `json:"served_share"`
+	Asked         int      `json:"asked"`
+	Lost          int      `json:"lost"` // no answer at all
+	RulesBroken   []string `json:"rules_broken"`
+
+	polls, agents []time.Duration
+}
+
+// Run plays the day with the program, and with the baseline if there is one.
+func (d ColdDay) Run(ctx context.Context) (r ColdResult, err error) {
+	if d.Baseline != "" {
+		b := d
+		b.Program = d.Baseline
+		c, err := b.course(ctx, "baseline")
+		if err != nil {
+			return r, err
+		}
+		r.Baseline = &c
+	}
+	r.Program, err = d.course(ctx, "program")
+	return r, err
+}
+
+// left is when a worker was told to drain or to be gone, and by which event.
+type left struct {
+	at    time.Time
+	event int
+}
+
+func (d ColdDay) course(ctx context.Context, name string) (c ColdCourse, err error) {
+	dir, err := os.MkdirTemp(d.Dir, "calicohill-lab-")
+	if err != nil {
+		return c, err
+	}
+	f := &Fleet{Program: d.Program, Env: d.Env, Dir: dir, Of: d.Of}
+	defer f.end()
+	if err := f.Prepare(d.Instances, d.Workers); err != nil {
+		return c, err
+	}
+	began := time.Now()
+	day, cancel := context.WithDeadline(ctx, began.Add(time.Duration(d.Seconds*float64(time.Second))))
+	defer cancel()
+	scripted := make(chan error, 1)
+	mark := began // when the last trouble ended
+	go func() {
+		for _, s := range d.Scenario {
+			if !sleep(day, time.Until(began.Add(s.At))) {
+				break
+			}
+			if err := f.do(s, d.Seed); err != nil {
+				scripted <- err
+				return
+			}
+			mark = time.Now()
+		}
+		scripted <- nil
+	}()
+	tally := f.Offer(day, Load{Rate: d.Rate, Functions: 3 * d.Workers / 2, Skew: 0.1, Seed: d.Seed})
+	if err := <-scripted; err != nil {
+		return c, err
+	}
+	c.Served, c.Asked, c.Lost = tally.Share(), tally.Asked, tally.Lost
+	c.count(f, began, mark)
+	c.RulesBroken = f.check(tally)
+	for _, in := range f.Instances {
+		if text := in.Log.String(); strings.Contains(text, "panic:") || strings.Contains(text, "DATA RACE") {
+			c.RulesBroken = append(c.RulesBroken, in.Name+" raced or panicked")
+		}
+	}
+	d.Say(fmt.Sprintf("%-9s served %.4f of %d, at most %d asks and %d connections within 100 ms at the list service, %d at a worker; all listed after %.0f ms; %d rules broken",
+		name, c.Served, c.Asked, c.PollsPeak, c.ConnectsPeak, c.AgentConnects, c.AllListed, len(c.RulesBroken)))
+	return c, nil
+}
+
+// count fills in what reached the list service and the workers.
+func (c *ColdCourse) count(f *Fleet, began, mark time.Time) {
+	last := len(f.List.Told())
+	n := len(f.Instances)
+	c.PollsEven, c.Limit = float64(n)/20, 2000
+	if f.List.desk.Rate > 0 {
+		c.Limit = float64(n) / f.List.desk.Rate * 1000
+	}
+	has, polls := map[string]time.Time{}, f.List.Polls()
+	for _, p := range polls {
+		c.polls = append(c.polls, p.At.Sub(began))
+		c.Bytes += p.Bytes
+		at := p.Answered // with the last event, or asked by one that has it
+		switch {
+		case p.After == last && (at.IsZero() || at.After(mark)):
+			at = p.At
+			if at.Before(mark) { // it waits
+				at = mark
+			}
+		case p.Number != last:
+			continue
+		}
+		if had, ok := has[p.From]; !at.Before(mark) && (!ok || at.Before(had)) {
+			has[p.From] = at
+		}
+	}
+	for _, p := range polls {
+		if at, ok := has[p.From]; p.At.After(mark) && (!ok || !p.At.After(at)) {
+			c.PollsSent++
+		}
+	}
+	for _, at := range has {
+		c.AllListed = max(c.AllListed, float64(at.Sub(mark).Milliseconds()))
+		c.PollsNeeded += 1 + int(at.Sub(mark)/(7*time.Second))
+	}
+	if len(has) < n {
+		c.AllListed = -1 // some never were
+	}
+	c.PollsPeak = Peak(c.polls, 0)
+	times := since(f.List.Accepts(), began)
+	c.ConnectsPeak, c.Connects = Peak(times, 0), len(times)
+	shakes := 0
+	for _, w := range f.Workers {
+		times := since(w.Accepts(), began)
+		c.agents = append(c.agents, times...)
+		c.AgentConnects = max(c.AgentConnects, Peak(times, 0))
+		shakes += len(times)
+		for _, a := range w.Arrivals() {
+			if a.Load {
+				c.Loads++
+			}
+		}
+	}
+	starts := 0
+	for _, in := range f.Instances {
+		starts += in.Count("scheduler started")
+	}
+	c.Handshakes = float64(shakes) / float64(max(starts, 1))
+}
+
+func since(times []time.Time, from time.Time) (list []time.Duration) {
+	for _, t := range times {
+		list = append(list, t.Sub(from))
+	}
+	return list
+}
+
+// Slack is what a rule's time limits are longer by on sockets, and what this machine may take on top.
+const slack, machine = 50 * time.Millisecond, 150 * time.Millisecond
+
+// check holds the history of a fleet against the rules: nothing new to a worker later than 1 s after its scheduler was
+// told that it leaves, at most 4 attempts, certificado never run twice, an answer to each request.
+func (f *Fleet) check(t Tally) (broken []string) {
+	say := func(format string, args ...any) { broken = append(broken, fmt.Sprintf(format, args...)) }
+	if t.Lost > 0 {
+		say("%d requests without an answer", t.Lost)
+	}
+	polls := map[string][]Poll{}
+	for _, p := range f.List.Polls() {
+		polls[p.From] = append(polls[p.From], p)
+	}
+	attempts, runs := map[string]int{}, map[string]int{}
+	for _, w := range f.Workers {
+		gone, leaves := f.leaving[w]
+		for _, a := range w.Arrivals() {
+			attempts[a.ID]++
+			if a.Class == "certificado" {
+				runs[a.ID]++
+			}
+			if !leaves {
+				continue
+			}
+			// It counts as told once heard, and where the list service was well in time even if it was not.
+			told := f.List.counts(gone.at)
+			if at := heard(polls[a.From], gone.event); !at.IsZero() && (told.IsZero() || at.Before(told)) {
+				told = at
+			}
+			if told.IsZero() {
+				continue
+			}
+			if late := a.At.Sub(told.Add(time.Second + slack + machine)); late > 0 {
+				say("%s sent %s to %s %v too late after its drain", a.From, a.ID, w.ID, late.Round(time.Millisecond))
+			}
+		}
+	}
+	for id, n := range attempts {
+		if n > 4 {
+			say("%d attempts of %s", n, id)
+		}
+	}
+	for id, n := range runs {
+		if n > 1 {
+			say("certificado %s reached workers %d times", id, n)
+		}
+	}
+	sort.Strings(broken)
+	return broken
+}
+
+// heard is when a scheduler was given an event, by its asks: the last answer with it before an ask that shows it known.
+// An answer may go to a connection that was just given up.
+func heard(polls []Poll, event int) (at time.Time) {
+	for _, p := range polls {
+		if p.After >= event {
+			if at.IsZero() {
+				at = p.At // configured with it
+			}
+			return at
+		}
+		if !p.Answered.IsZero() && p.Number >= event {
+			at = p.Answered
+		}
+	}
+	return time.Time{}
+}
+
+// Plot draws asks at the list service and connections at the workers over time, of both builds. The ending of the
+// file's name, .svg or .png, says how.
+func (r ColdResult) Plot(path string) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Asks and connections", "seconds", "in 100 ms"
+	p.Legend.Top = true
+	var lines []any
+	draw := func(name string, c ColdCourse) {
+		for what, times := range map[string][]time.Duration{"asks": c.polls, "connections to workers": c.agents} {
+			lines = append(lines, name+": "+what, tenths(times))
+		}
+	}
+	draw("program", r.Program)
+	if r.Baseline != nil {
+		draw("baseline", *r.Baseline)
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	return p.Save(20*vg.Centimeter, 11*vg.Centimeter, path)
+}
+
+// tenths counts times by tenths of a second.
+func tenths(times []time.Duration) plotter.XYs {
+	if len(times) == 0 {
+		return plotter.XYs{{}}
+	}
+	points := make(plotter.XYs, slices.Max(times)/(100*time.Millisecond)+1)
+	for i := range points {
+		points[i].X = float64(i) / 10
+	}
+	for _, t := range times {
+		points[max(t, 0)/(100*time.Millisecond)].Y++
+	}
+	return points
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -2,18 +2,19 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,10 +45,14 @@
 	Authority *fleetkey.Authority
 	Sharing   bool
 
-	bulletin *httptest.Server
-	mu       sync.Mutex
-	events   []string
-	changed  chan struct{}
+	List  *ListService
+	Known string // which events schedulers are configured with: full (as ""), old (the first alone) or empty
+
+	Of int // how many schedulers there are as they are told; 0 for those that there are
+
+	host    string // of all its schedulers
+	rolling sync.WaitGroup
+	leaving map[*Worker]left // workers that drain or are gone
 }
 
 // Instance is one scheduler.
@@ -61,6 +66,9 @@
 	own    string
 	cmd    *exec.Cmd
 	ended  chan error
+	away   atomic.Bool  // the front sends it nothing
+	hurt   atomic.Int64 // Unix nanoseconds of when it was last killed or continued; the greatest while it is stopped
+	born   atomic.Int32 // how often it was started
 }
 
 // Log collects what a process writes.
@@ -127,7 +135,7 @@
 
 // Prepare has workers and their bulletin run and writes the files of schedulers, which do not run yet.
 func (f *Fleet) Prepare(instances, workers int) error {
-	f.changed = make(chan struct{})
+	f.List = NewListService()
 	var err error
 	if f.Authority, err = fleetkey.NewAuthority("lab", time.Now().Add(-time.Hour), 24*time.Hour); err != nil {
 		return err
@@ -135,6 +143,7 @@
 	if err := os.WriteFile(filepath.Join(f.Dir, "fleet.crt"), fleetkey.EncodeCert(f.Authority.Cert), 0o600); err != nil {
 		return err
 	}
+	f.leaving = map[*Worker]left{}
 	for i := range workers {
 		w, err := NewWorker(fmt.Sprintf("w%02d", i))
 		if err != nil {
@@ -143,12 +152,11 @@
 		}
 		f.Workers = append(f.Workers, w)
 	}
-	f.bulletin = httptest.NewServer(http.HandlerFunc(f.poll))
 	f.Tell(true, f.Workers, "SERVING")
 	for i := range instances {
 		in := &Instance{Name: fmt.Sprintf("n%d", i), fleet: f}
-		if in.Addr, err = free("tcp"); err == nil {
-			in.Gossip, err = free("udp")
+		if in.Addr, err = f.free("tcp"); err == nil {
+			in.Gossip, err = f.free("udp")
 		}
 		if err != nil {
 			f.Close()
@@ -165,17 +173,24 @@
 	return nil
 }
 
-// free is an address of loopback that nobody listens on.
-func free(network string) (string, error) {
+// fleets counts the fleets of this process.
+var fleets atomic.Uint32
+
+// free is an address of loopback that nobody listens on. Each fleet has a host of its own: schedulers open their port
+// so that a restart may share it, and of two fleets that were given the same one each would serve the other's clients.
+func (f *Fleet) free(network string) (string, error) {
+	if f.host == "" {
+		f.host = fmt.Sprintf("127.%d.%d.1:0", 1+os.Getpid()%250, 1+fleets.Add(1)%250)
+	}
 	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		c, err := net.ListenPacket("udp", f.host)
 		if err != nil {
 			return "", err
 		}
 		defer c.Close()
 		return c.LocalAddr().String(), nil
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", f.host)
 	if err != nil {
 		return "", err
 	}
@@ -183,59 +198,44 @@
 	return l.Addr().String(), nil
 }
 
-// Tell adds an event to the bulletin.
+// Tell adds an event to the list.
 func (f *Fleet) Tell(all bool, workers []*Worker, state string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	var list []string
 	for _, w := range workers {
+		if _, ok := f.leaving[w]; state != "SERVING" && !ok {
+			f.leaving[w] = left{time.Now(), len(f.List.Told()) + 1}
+		}
 		list = append(list, fmt.Sprintf(`{"uid":%q,"state":%q,"endpoint":%q,"az":"here","model":"std","boot_ms":0}`,
 			w.ID, state, w.Addr))
 	}
-	f.events = append(f.events, fmt.Sprintf(`{"no":%d,"roster":{"rev":1,"all":%v,"targets":[%s]}}`,
-		len(f.events)+1, all, strings.Join(list, ",")))
-	close(f.changed)
-	f.changed = make(chan struct{})
-}
-
-func (f *Fleet) feed(after int) string {
-	return fmt.Sprintf(`{"no":%d,"items":[%s]}`, len(f.events), strings.Join(f.events[min(after, len(f.events)):], ","))
+	f.List.Tell(func(no int) string {
+		return fmt.Sprintf(`{"no":%d,"roster":{"rev":1,"all":%v,"targets":[%s]}}`, no, all, strings.Join(list, ","))
+	})
 }
 
-// poll answers as the bulletin does.
-func (f *Fleet) poll(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
-	wait, _ := strconv.Atoi(r.URL.Query().Get("patience"))
-	timeout := time.After(time.Duration(wait) * time.Millisecond)
-	for {
-		f.mu.Lock()
-		text, news, changed := f.feed(after), after < len(f.events), f.changed
-		f.mu.Unlock()
-		if !news {
-			select {
-			case <-changed:
-				continue
-			case <-timeout:
-			case <-r.Context().Done():
-				return
-			}
-		}
-		fmt.Fprint(w, text)
-		return
+// known is the events that schedulers are configured with.
+func (f *Fleet) known() string {
+	switch f.Known {
+	case "old":
+		return f.List.first(1)
+	case "empty":
+		return f.List.first(0)
 	}
+	return f.List.Feed(0)
 }
 
 // configure writes the files of an instance: the platform's, its key and the operator's.
 func (in *Instance) configure() error {
 	f := in.fleet
 	rank, _ := strconv.Atoi(in.Name[1:])
-	f.mu.Lock()
-	known := f.feed(0)
-	f.mu.Unlock()
+	door, err := f.List.Door(in.Name)
+	if err != nil {
+		return err
+	}
 	text, err := json.Marshal(map[string]any{"name": in.Name, "listen": in.Addr, "seed": fmt.Sprintf("%016x", rank+1),
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"bulletin": f.bulletin.Listener.Addr().String(), "known": json.RawMessage(known),
-		"settings": json.RawMessage(fmt.Sprintf(settings, len(f.Instances), rank))})
+		"bulletin": door, "known": json.RawMessage(f.known()),
+		"settings": json.RawMessage(fmt.Sprintf(settings, max(f.Of, len(f.Instances)), rank))})
 	if err != nil {
 		return err
 	}
@@ -292,23 +292,42 @@
 	if err := in.cmd.Start(); err != nil {
 		return fmt.Errorf("scheduler %s: %w", in.Name, err)
 	}
+	in.born.Add(1)
+	go func() {
+		if in.healthy(context.Background()) == nil {
+			in.away.Store(false)
+		}
+	}()
 	in.ended = make(chan error, 1)
 	go func(cmd *exec.Cmd, ended chan error) { ended <- cmd.Wait() }(in.cmd, in.ended)
 	return nil
 }
 
 // Signal sends a signal to a scheduler.
-func (in *Instance) Signal(s syscall.Signal) error { return in.cmd.Process.Signal(s) }
+func (in *Instance) Signal(s syscall.Signal) error {
+	switch s {
+	case syscall.SIGSTOP:
+		in.hurt.Store(math.MaxInt64)
+	case syscall.SIGCONT:
+		in.hurt.Store(time.Now().UnixNano())
+	}
+	return in.cmd.Process.Signal(s)
+}
 
 // Kill ends a scheduler without a word.
 func (in *Instance) Kill() {
 	if in.ended != nil {
+		in.away.Store(true)
+		in.hurt.Store(time.Now().UnixNano())
 		_ = in.cmd.Process.Kill() // it may have ended
 		<-in.ended
 		in.ended = nil
 	}
 }
 
+// frontLeaves is how long after SIGTERM the front still sends.
+const frontLeaves = 200 * time.Millisecond
+
 // Stop ends a scheduler as a planned restart does.
 func (in *Instance) Stop() error {
 	if in.ended == nil {
@@ -317,6 +336,7 @@
 	if err := in.Signal(syscall.SIGTERM); err != nil {
 		return fmt.Errorf("scheduler %s: %w", in.Name, err)
 	}
+	time.AfterFunc(frontLeaves, func() { in.away.Store(true) })
 	select {
 	case err := <-in.ended:
 		in.ended = nil
@@ -376,18 +396,22 @@
 	for _, w := range f.Workers {
 		w.Close()
 	}
-	if f.bulletin != nil {
-		f.bulletin.CloseClientConnections()
-		f.bulletin.Close()
+	if f.List != nil {
+		f.List.Close()
 	}
 }
 
+// Twin is another instance with the name and the files of this one, which does not run yet.
+func (in *Instance) Twin() *Instance {
+	return &Instance{Name: in.Name, Addr: in.Addr, Gossip: in.Gossip, Key: in.Key, fleet: in.fleet, config: in.config, own: in.own}
+}
+
 // Move gives an instance new addresses and files of its own, under the name and the key that it has.
 func (in *Instance) Move() (err error) {
-	if in.Addr, err = free("tcp"); err != nil {
+	if in.Addr, err = in.fleet.free("tcp"); err != nil {
 		return err
 	}
-	if in.Gossip, err = free("udp"); err != nil {
+	if in.Gossip, err = in.fleet.free("udp"); err != nil {
 		return err
 	}
 	key := in.Key
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -22,6 +23,8 @@
 // Tally counts what became of requests.
 type Tally struct {
 	Asked, Served, Refused, Failed, Lost int             // Lost: no answer at all
+	NotTaken                             int             // no connection came up, or the front had taken it out
+	Hurt                                 int             // no answer of a process that was killed or stopped meanwhile
 	Times                                []time.Duration // of those that were answered
 }
 
@@ -44,25 +47,31 @@
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	for _, in := range f.Instances {
-		for {
-			c, err := fastcgi.Dial(ctx, in.Addr)
-			if err == nil {
-				var r fastcgi.Reply
-				r, err = c.Do(ctx, fastcgi.Request{Path: "/health", Budget: time.Second})
-				c.Close()
-				if err == nil && r.Verdict() == "served" {
-					break
-				}
-			}
-			if ctx.Err() != nil {
-				return fmt.Errorf("scheduler %s does not come up: %w\n%s", in.Name, err, in.Log)
-			}
-			time.Sleep(20 * time.Millisecond)
+		if err := in.healthy(ctx); err != nil {
+			return fmt.Errorf("scheduler %s does not come up: %w\n%s", in.Name, err, in.Log)
 		}
 	}
 	return nil
 }
 
+// healthy waits until an instance answers as the front asks it to before it takes it in.
+func (in *Instance) healthy(ctx context.Context) error {
+	for {
+		c, err := fastcgi.Dial(ctx, in.Addr)
+		if err == nil {
+			var r fastcgi.Reply
+			r, err = c.Do(ctx, fastcgi.Request{Path: "/health", Budget: time.Second})
+			c.Close()
+			if err == nil && r.Verdict() == "served" {
+				return nil
+			}
+		}
+		if !sleep(ctx, 20*time.Millisecond) {
+			return errors.Join(ctx.Err(), err)
+		}
+	}
+}
+
 // Offer offers load to the instances until the context ends, and tells what became of it.
 func (f *Fleet) Offer(ctx context.Context, l Load) Tally {
 	var mu sync.Mutex
@@ -78,6 +87,9 @@
 			rng := rand.New(rand.NewPCG(l.Seed, uint64(i)))
 			zipf := rand.NewZipf(rng, 1.3, 4, uint64(l.Functions-1))
 			rate := l.Rate * part(i) / total
+			if in.healthy(ctx) != nil {
+				return
+			}
 			f.front(ctx, in, func(fire func(fastcgi.Request)) {
 				start, due := time.Now(), 0.0
 				for n := 0; ; n++ {
@@ -103,11 +115,17 @@
 			}, func(r fastcgi.Reply, err error, took time.Duration) {
 				mu.Lock()
 				defer mu.Unlock()
+				if errors.Is(err, errNotTaken) {
+					all.NotTaken++
+					return
+				}
 				all.Asked++
 				if err == nil {
 					all.Times = append(all.Times, took)
 				}
 				switch {
+				case err != nil && in.hurt.Load() >= time.Now().Add(-took).UnixNano():
+					all.Hurt++
 				case err != nil:
 					all.Lost++
 				case r.Verdict() == "served":
@@ -124,11 +142,14 @@
 	return all
 }
 
+var errNotTaken = errors.New("not taken")
+
 // front sends what offer fires to an instance, over as many connections as that takes.
 func (f *Fleet) front(ctx context.Context, in *Instance, offer func(func(fastcgi.Request)), told func(fastcgi.Reply, error, time.Duration)) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var idle []*fastcgi.Client
+	var born int32 // of the process that they lead to
 	defer func() {
 		wg.Wait()
 		for _, c := range idle {
@@ -136,9 +157,19 @@
 		}
 	}()
 	offer(func(q fastcgi.Request) {
+		if in.away.Load() {
+			told(fastcgi.Reply{}, errNotTaken, 0)
+			return
+		}
 		wg.Go(func() {
 			mu.Lock()
 			var c *fastcgi.Client
+			if now := in.born.Load(); now != born {
+				for _, c := range idle {
+					c.Close()
+				}
+				idle, born = nil, now
+			}
 			if n := len(idle); n > 0 {
 				c, idle = idle[n-1], idle[:n-1]
 			}
@@ -149,7 +180,7 @@
 			var err error
 			if c == nil {
 				if c, err = fastcgi.Dial(ctx, in.Addr); err != nil {
-					told(fastcgi.Reply{}, err, 0)
+					told(fastcgi.Reply{}, fmt.Errorf("%w: %w", errNotTaken, err), 0)
 					return
 				}
 			}
--- /dev/null
+++ b/internal/lab/scenario.go
@@ -0,0 +1,193 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Scenario is a script of what happens to a fleet: lines "TIME VERB ARGUMENTS" in the order of their times, each
+// beginning when its time has come. A share is of all schedulers, or workers, the same ones for the same seed.
+//
+//	0s known full|old|empty        the events that schedulers are configured with; before any start
+//	0s start SHARE                 starts those of the first SHARE that do not run
+//	4s list MOOD [SHARE]           mood of the list service; SHARE of what the fleet asks, for crowded
+//	4s break                       breaks all connections of the list service
+//	4s tell                        an event that says again what the list has
+//	4s drain SHARE                 has workers drain
+//	4s replace SHARE               deletes workers and lists new ones
+//	4s kill|stop|cont|term SHARE   of schedulers: SIGKILL, SIGSTOP, SIGCONT, SIGTERM
+//	4s roll SHARE PAUSE            ends and starts all schedulers, a share at a time
+//	4s workers FAULT SHARE         sound, mute, stalls, fails or refuses
+type Scenario []Step
+
+// Step is a line of a Scenario.
+type Step struct {
+	At   time.Duration
+	Verb string
+	Args []string
+}
+
+var errStep = errors.New("not a step of a scenario")
+
+// ParseScenario reads a script.
+func ParseScenario(text string) (s Scenario, err error) {
+	for line := range strings.Lines(text) {
+		f := strings.Fields(line)
+		if len(f) == 0 {
+			continue
+		}
+		at, err := time.ParseDuration(f[0])
+		if err != nil || len(f) < 2 || len(s) > 0 && at < s[len(s)-1].At {
+			return nil, fmt.Errorf("%w: %q", errStep, line)
+		}
+		s = append(s, Step{at, f[1], f[2:]})
+	}
+	return s, nil
+}
+
+// share is how many of n a step is about.
+func (s Step) share(i, n int) (int, error) {
+	if i >= len(s.Args) {
+		return 0, fmt.Errorf("%w: %v", errStep, s)
+	}
+	x, err := strconv.ParseFloat(s.Args[i], 64)
+	if err != nil || x < 0 || x > 1 {
+		return 0, fmt.Errorf("%w: share %q", errStep, s.Args[i])
+	}
+	return int(x*float64(n) + 0.5), nil
+}
+
+var faults = map[string]Fault{"sound": Sound, "mute": Mute, "stalls": Stalls, "fails": Fails, "refuses": Refuses}
+
+// do carries out a step.
+func (f *Fleet) do(s Step, seed uint64) error {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	schedulers, workers := rng.Perm(len(f.Instances)), rng.Perm(len(f.Workers))
+	each := func(i int, act func(*Instance) error) error {
+		n, err := s.share(i, len(f.Instances))
+		for _, k := range schedulers[:n] {
+			if err == nil {
+				err = act(f.Instances[k])
+			}
+		}
+		return err
+	}
+	some := func(i int) (list []*Worker, err error) {
+		n, err := s.share(i, len(f.Workers))
+		for _, k := range workers[:n] {
+			list = append(list, f.Workers[k])
+		}
+		return list, err
+	}
+	signal := func(sig syscall.Signal) error {
+		return each(0, func(in *Instance) error { return in.Signal(sig) })
+	}
+	start := func(in *Instance) error {
+		if in.ended != nil {
+			return nil
+		}
+		return in.Start()
+	}
+	switch s.Verb {
+	case "start":
+		return each(0, start)
+	case "kill":
+		return each(0, func(in *Instance) error { in.Kill(); return nil })
+	case "stop":
+		return signal(syscall.SIGSTOP)
+	case "cont":
+		return signal(syscall.SIGCONT)
+	case "term":
+		return each(0, func(in *Instance) error { go in.Stop(); return nil })
+	case "roll":
+		n, err := s.share(0, len(f.Instances))
+		if err != nil || len(s.Args) < 2 || n == 0 {
+			return fmt.Errorf("%w: %v", errStep, s)
+		}
+		pause, err := time.ParseDuration(s.Args[1])
+		for from := 0; from < len(schedulers) && err == nil; from += n {
+			for _, k := range schedulers[from:min(from+n, len(schedulers))] {
+				f.rolling.Go(func() {
+					if err := f.Instances[k].Stop(); err == nil {
+						_ = f.Instances[k].Start() // one that does not start is missed by the checks
+					}
+				})
+			}
+			time.Sleep(pause)
+		}
+		f.rolling.Wait()
+		return err
+	case "list":
+		rate := 0.0
+		if len(s.Args) > 1 {
+			x, err := strconv.ParseFloat(s.Args[1], 64)
+			if err != nil || x <= 0 {
+				return fmt.Errorf("%w: %v", errStep, s)
+			}
+			rate = x * float64(len(f.Instances)) / 2 // the fleet asks once in 2 s each
+		}
+		if len(s.Args) == 0 {
+			return fmt.Errorf("%w: %v", errStep, s)
+		}
+		return f.List.Set(Mood(s.Args[0]), rate)
+	case "break":
+		f.List.Break()
+	case "tell":
+		for _, w := range f.Workers {
+			if _, leaves := f.leaving[w]; !leaves {
+				f.Tell(false, []*Worker{w}, "SERVING")
+				break
+			}
+		}
+	case "drain":
+		list, err := some(0)
+		f.Tell(false, list, "DRAINING")
+		return err
+	case "replace":
+		list, err := some(0)
+		if err != nil {
+			return err
+		}
+		return f.replace(list)
+	case "workers":
+		list, err := some(1)
+		for _, w := range list {
+			w.Set(faults[s.Args[0]])
+		}
+		return err
+	case "known":
+		if len(s.Args) != 1 {
+			return fmt.Errorf("%w: %v", errStep, s)
+		}
+		f.Known = s.Args[0]
+		for _, in := range f.Instances {
+			if err := in.configure(); err != nil {
+				return err
+			}
+		}
+	default:
+		return fmt.Errorf("%w: %v", errStep, s)
+	}
+	return nil
+}
+
+// replace deletes workers from the list and lists as many new ones.
+func (f *Fleet) replace(gone []*Worker) error {
+	f.Tell(false, gone, "DELETED")
+	var fresh []*Worker
+	for _, w := range gone {
+		n, err := NewWorker(w.ID + "x")
+		if err != nil {
+			return err
+		}
+		fresh = append(fresh, n)
+	}
+	f.Workers = append(f.Workers, fresh...)
+	f.Tell(false, fresh, "SERVING")
+	return nil
+}
--- a/internal/lab/worker.go
+++ b/internal/lab/worker.go
@@ -35,15 +35,18 @@
 	fault    Fault
 	loaded   map[string]time.Time // when a function stands
 	arrivals []Arrival
+	accepts  []time.Time
 	conns    map[net.Conn]bool
 	lanes    chan struct{}
 }
 
 // Arrival is a request as it came.
 type Arrival struct {
-	At    time.Time
-	From  string // what the body says of who sent it
-	Fault Fault  // of the worker then
+	At        time.Time
+	From      string // what the body says of who sent it
+	Fault     Fault  // of the worker then
+	ID, Class string
+	Load      bool // it began a load
 }
 
 // The speed of a stand-in worker.
@@ -69,6 +72,7 @@
 			}
 			w.mu.Lock()
 			refuse := w.fault == Refuses
+			w.accepts = append(w.accepts, time.Now())
 			w.conns[c] = true
 			w.mu.Unlock()
 			if refuse {
@@ -108,6 +112,13 @@
 	w.fault = f
 }
 
+// Accepts is when connections came up.
+func (w *Worker) Accepts() []time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]time.Time(nil), w.accepts...)
+}
+
 // Arrivals is the requests so far.
 func (w *Worker) Arrivals() []Arrival {
 	w.mu.Lock()
@@ -169,17 +180,20 @@
 
 // run answers a request as the worker's fault has it.
 func (w *Worker) run(ctx context.Context, id, fields, body string, write func(string)) {
-	function := ""
+	function, class := "", ""
 	for f := range strings.SplitSeq(fields, ",") {
-		if v, ok := strings.CutPrefix(f, "asset="); ok {
+		switch name, v, _ := strings.Cut(f, "="); name {
+		case "asset":
 			function = v
+		case "sort":
+			class = v
 		}
 	}
 	w.mu.Lock()
 	fault := w.fault
 	from, _, _ := strings.Cut(body, " ")
-	w.arrivals = append(w.arrivals, Arrival{time.Now(), from, fault})
 	stands, known := w.loaded[function]
+	w.arrivals = append(w.arrivals, Arrival{time.Now(), from, fault, id, class, !known})
 	if !known {
 		stands = time.Now().Add(loadTime)
 		w.loaded[function] = stands
