--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -129,19 +129,23 @@
 
 func coldstartCommand() *cobra.Command {
 	var d lab.ColdDay
-	var asJSON bool
+	var virtual, asJSON bool
 	var scenario, plotTo string
 	names := slices.Sorted(maps.Keys(lab.ColdStarts))
 	cmd := &cobra.Command{
 		Use: "coldstart", Short: "Many schedulers at once before a list service and workers that have trouble",
 		Long: "Many schedulers at once before a list service and workers that have trouble.\n\n" +
 			"A scenario is one of " + strings.Join(names, ", ") + ", or a file with a script of the same form.",
-		Example: "  bin/lab coldstart --instances 300 --workers 60 --scenario crowded --baseline ../earlier/bin/calicohill --json",
-		Args:    cobra.NoArgs,
+		Example: "  bin/lab coldstart --instances 300 --workers 60 --scenario crowded --baseline ../earlier/bin/calicohill --json\n" +
+			"  bin/lab coldstart --virtual --instances 5000 --json",
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) (err error) {
 			if d.Instances < 1 || d.Workers < 1 || d.Seconds < 1 || d.Rate <= 0 {
 				return errors.New("at least 1 instance, 1 worker, 1 second and a rate are needed")
 			}
+			if virtual {
+				return show(cmd.OutOrStdout(), asJSON, lab.PlayAsks([]int{d.Instances}, d.Seed))
+			}
 			text, ok := lab.ColdStarts[scenario]
 			if !ok {
 				b, err := os.ReadFile(scenario)
@@ -181,6 +185,7 @@
 	f.Float64Var(&d.Seconds, "seconds", 20, "how long each run lasts")
 	f.Float64Var(&d.Rate, "rate", 240, "requests a second, of all instances")
 	f.Uint64Var(&d.Seed, "seed", 1, "of load and faults")
+	f.BoolVar(&virtual, "virtual", false, "only when the list service is asked, in virtual time")
 	f.StringVar(&plotTo, "plot", "", "`FILE`, .svg or .png, for a plot of asks and connections over time")
 	f.BoolVar(&asJSON, "json", false, "print one JSON object in a line")
 	return cmd
--- a/internal/lab/asks.go
+++ b/internal/lab/asks.go
@@ -183,3 +183,61 @@
 	}
 	return most
 }
+
+// VirtualAsks is what a fleet of one size asks of a list service in virtual time.
+type VirtualAsks struct {
+	Schedulers int            `json:"schedulers"`
+	Even       float64        `json:"polls_even_100ms"`
+	Peaks      map[string]int `json:"polls_peak_100ms"` // by what happened
+	Listed     float64        `json:"crowded_all_listed_ms"`
+	Limit      float64        `json:"crowded_limit_ms"`
+	Sent       int            `json:"crowded_polls_sent"`
+	Needed     int            `json:"crowded_polls_needed"`
+}
+
+// PlayAsks plays the troubles of a list service with fleets of these sizes.
+func PlayAsks(sizes []int, seed uint64) (list []VirtualAsks) {
+	eight := func(m Mood) func(*Asks) {
+		return func(f *Asks) { f.Set(m); f.Run(8 * time.Second); f.Set(Well) }
+	}
+	for _, n := range sizes {
+		v := VirtualAsks{Schedulers: n, Even: float64(n) / 20, Peaks: map[string]int{}}
+		start := NewAsks(n, seed, true)
+		start.Run(10 * time.Second)
+		v.Peaks["start"] = Peak(start.Polls, 0)
+		for name, do := range map[string]func(*Asks){"refused 8 s": eight(Refuse), "503 for 8 s": eight(Busy),
+			"silent 8 s": eight(Silent), "broken": (*Asks).Break, "event": (*Asks).Tell} {
+			f := NewAsks(n, seed, true)
+			f.Run(10 * time.Second)
+			at := f.Now
+			do(f)
+			f.Run(20 * time.Second)
+			v.Peaks[name] = Peak(f.Polls, at)
+		}
+		v.Sent, v.Needed, v.Listed, v.Limit = crowd(n, seed)
+		list = append(list, v)
+	}
+	return list
+}
+
+// crowd plays a start before a service that answers a tenth of what the fleet asks in its 2 s, and has news for all.
+func crowd(n int, seed uint64) (sent, needed int, listed, limit float64) {
+	f := NewAsks(n, seed, true)
+	f.Set(Crowded)
+	f.Desk.Rate, f.Desk.Number = float64(n)/20, 2
+	began := f.Now
+	f.Run(40 * time.Second)
+	for _, node := range f.Nodes {
+		if node.Knows < 2 {
+			return 0, 0, -1, 20000
+		}
+		for _, at := range node.Polls {
+			if at < node.Told {
+				sent++
+			}
+		}
+		needed += 1 + int((node.Told-began)/(7*time.Second))
+		listed = max(listed, float64((node.Told - began).Milliseconds()))
+	}
+	return sent, needed, listed, 20000
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -69,6 +69,7 @@
 	away   atomic.Bool  // the front sends it nothing
 	hurt   atomic.Int64 // Unix nanoseconds of when it was last killed or continued; the greatest while it is stopped
 	born   atomic.Int32 // how often it was started
+	starts []time.Time  // guarded by Log
 }
 
 // Log collects what a process writes.
@@ -287,6 +288,7 @@
 	}
 	in.Log.mu.Lock()
 	in.Log.from = in.Log.text.Len()
+	in.starts = append(in.starts, time.Now())
 	in.Log.mu.Unlock()
 	in.cmd.Stdout, in.cmd.Stderr = in.Log, in.Log
 	if err := in.cmd.Start(); err != nil {
