Keep the list of workers over a restart where the operator's file asks for it

What does not count is set aside with one line.

Seen on the way: a record made between two events of one answer was older than the one it replaced (event 614 after 627 in TestSnapshotKilled); the list is now told as changed once an answer is applied.

What was learned (service times, pressed workers) is not kept yet.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	go tool staticcheck ./...
 
 fuzz: ## each parser for a while
-	for p in fastcgi agent bulletin operator gossip suspicion; do go test -run '^$$' -fuzz Fuzz -fuzztime 30s ./internal/$$p || exit 1; done
+	for p in fastcgi agent bulletin operator gossip suspicion snapshot; do go test -run '^$$' -fuzz Fuzz -fuzztime 30s ./internal/$$p || exit 1; done
 
 run: build ## the example: a toy bulletin and agent, a scheduler in front of them, and a call that it serves
 	@$(example); bin/calicohill call consulta --wait 10s --body hello
--- a/cmd/calicohill/rig_test.go
+++ b/cmd/calicohill/rig_test.go
@@ -77,6 +77,7 @@
 	changed  chan struct{}
 	spoiled  []func(http.ResponseWriter) // answers to the next polls, in place of the events
 	started  bool
+	stale    int // how many events the configuration holds; 0 for all
 	idleMs   int
 	sockets  int
 	bulletin *httptest.Server
@@ -175,9 +176,13 @@
 func (s *site) configure() {
 	s.t.Helper()
 	s.mu.Lock()
+	known := s.feed(0)
+	if s.stale > 0 {
+		known = fmt.Sprintf(`{"no":%d,"items":[%s]}`, s.stale, strings.Join(s.events[:s.stale], ","))
+	}
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": s.addr, "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": s.sockets},
-		"bulletin": s.bulletin.Listener.Addr().String(), "known": json.RawMessage(s.feed(0)),
+		"bulletin": s.bulletin.Listener.Addr().String(), "known": json.RawMessage(known),
 		"settings": json.RawMessage(fmt.Sprintf(testSettings, s.idleMs))})
 	s.mu.Unlock()
 	if err != nil {
--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -28,6 +29,7 @@
 	"calicohill/internal/polling"
 	"calicohill/internal/pools"
 	"calicohill/internal/settings"
+	"calicohill/internal/snapshotfile"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
@@ -170,6 +172,9 @@
 			}
 			return
 		}
+		if err == nil && !reflect.DeepEqual(own.State, nextOwn.State) {
+			log.Warn("the section state is taken up by a restart alone")
+		}
 		takeUp := func() error { return nil }
 		if err == nil && (peers == nil) != (nextOwn.Gossip == nil) {
 			log.Warn("gossip is switched on or off by a restart alone")
@@ -195,6 +200,9 @@
 		log.WithField("bulletin", next.Bulletin).Info("configuration read again")
 	}
 	draining := false
+	if own.State != nil {
+		restore(watch, own.State, l, parts.Part("bulletin"))
+	}
 	l.Accept, l.Stalled, watch.Blind = server.Accept, watch.Stalled, d.Blind
 	l.Boot = func() {
 		watch.Start()
@@ -226,6 +234,22 @@
 	return nil
 }
 
+// restore takes up the list of an earlier life, if it counts, and has it kept from now on.
+func restore(watch *bulletin.Watch, state *operator.State, l *loop.Loop, log *logrus.Entry) {
+	r, err := snapshotfile.Read(state.Snapshot, state.Fleet, l.Now(), state.MaxAge)
+	newer := false
+	if err == nil && r.No > 0 {
+		newer, err = watch.Restore(r.Feed)
+	}
+	switch {
+	case err != nil:
+		log.WithError(err).Warn("snapshot set aside")
+	case newer:
+		log.WithFields(logrus.Fields{"event": r.No, "age": (l.Now() - r.At).Round(time.Second)}).Info("snapshot taken up")
+	}
+	watch.Changed = snapshotfile.New(l, state.Snapshot, state.Fleet, watch.List, log).Changed
+}
+
 // orNone is the routes, or nil where there are none.
 func orNone(routes *pools.Core) *pools.Core {
 	if routes.Len() == 0 {
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"calicohill"
@@ -29,11 +31,13 @@
 }
 
 type event struct {
-	No     int `json:"no"`
-	Roster *struct {
-		All     bool     `json:"all"`
-		Targets []target `json:"targets"`
-	} `json:"roster"`
+	No     int     `json:"no"`
+	Roster *roster `json:"roster"`
+}
+
+type roster struct {
+	All     bool     `json:"all"`
+	Targets []target `json:"targets"`
 }
 
 type target struct {
@@ -51,9 +55,9 @@
 	"SERVING": calicohill.Ready, "DRAINING": calicohill.Draining, "DELETED": calicohill.Gone,
 }
 
-// roster reads an event's list. A target that makes no sense is an error; with lenient it is read as far as it
+// read reads an event's list. A target that makes no sense is an error; with lenient it is read as far as it
 // goes, and gets no new work.
-func (e *event) roster(zones, kinds []string, lenient bool) (dispatch.Roster, error) {
+func (e *event) read(zones, kinds []string, lenient bool) (dispatch.Roster, error) {
 	r := dispatch.Roster{Full: e.Roster.All}
 	for _, t := range e.Roster.Targets {
 		state, ok := states[t.State]
@@ -88,12 +92,16 @@
 	zones, kinds []string
 	sink         func(dispatch.Roster)
 	log          logrus.FieldLogger
+	// Changed, if set, is called after events that changed the list.
+	Changed func()
 	// Blind, if set, is told for how long the list may be old, after a stall; 0 says that it is not any more.
 	Blind func(time.Duration)
 
 	known Feed
-	last  int // number of the last event
-	bad   int // number of an event that made no sense
+	old   bool              // the list is from an earlier life, and the bulletin has not spoken yet
+	list  map[string]target // kept for Changed
+	last  int               // number of the last event
+	bad   int               // number of an event that made no sense
 	core  *polling.Core
 	conns map[int]*conn // by the core's number
 	down  bool          // the last poll failed, and that was logged
@@ -123,7 +131,7 @@
 		if e.Roster == nil {
 			continue
 		}
-		if _, err := e.roster(zones, kinds, false); err != nil {
+		if _, err := e.read(zones, kinds, false); err != nil {
 			return nil, fmt.Errorf("known event %d: %w", e.No, err)
 		}
 	}
@@ -136,7 +144,49 @@
 		w.log.WithError(err).Error("known events") // New has read them once
 	}
 	w.known = Feed{}
-	w.step(polling.Begun{Listed: w.last > 0})
+	w.step(polling.Begun{Listed: w.last > 0, Old: w.old})
+}
+
+// Restore has the list of an earlier life taken for what is known, where it is newer. It must be called before Start.
+func (w *Watch) Restore(feed []byte) (newer bool, err error) {
+	var f Feed
+	if err := json.Unmarshal(feed, &f); err != nil {
+		return false, fmt.Errorf("list: %w", err)
+	}
+	if f.No <= w.known.No {
+		return false, nil
+	}
+	for _, e := range f.Items {
+		if e.Roster == nil {
+			return false, fmt.Errorf("list: event %d without workers", e.No)
+		}
+		if _, err := e.read(w.zones, w.kinds, false); err != nil {
+			return false, fmt.Errorf("list: %w", err)
+		}
+	}
+	w.known, w.old = f, true
+	return true, nil
+}
+
+// List is the number of the last event and the whole list, in the form of a poll's answer. feed may be called
+// elsewhere, later.
+func (w *Watch) List() (no int, feed func() ([]byte, error)) {
+	no, all := w.last, slices.SortedFunc(maps.Values(w.list), func(a, b target) int { return strings.Compare(a.UID, b.UID) })
+	return no, func() ([]byte, error) {
+		return json.Marshal(Feed{No: no, Items: []event{{No: no, Roster: &roster{All: true, Targets: all}}}})
+	}
+}
+
+// keep keeps an event's list for Changed.
+func (w *Watch) keep(r *roster) {
+	if w.list == nil || r.All {
+		w.list = map[string]target{}
+	}
+	for _, t := range r.Targets {
+		if w.list[t.UID] = t; states[t.State] == calicohill.Gone {
+			delete(w.list, t.UID)
+		}
+	}
 }
 
 // Move has the bulletin asked at another address from now on. The numbers of its events go on. Polls at the old
@@ -191,23 +241,40 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return err
 	}
+	// A bulletin that was set up anew since counts from 1 again, and has to tell all.
+	if w.old && f.No < w.last {
+		w.log.WithFields(logrus.Fields{"event": f.No, "known": w.last}).Warn("bulletin counts anew: the list is read from its beginning")
+		w.last = 0
+		w.old = false
+		return nil
+	}
+	w.old = false
 	return w.apply(&f)
 }
 
 // apply hands on events, in order and each once. One that makes no sense is asked for again, and read as far as
 // it goes if it comes the same: later ones may say who drains.
 func (w *Watch) apply(f *Feed) error {
+	before := w.last
+	defer func() {
+		if w.Changed != nil && w.last > before { // not between two events: what is kept never gets older
+			w.Changed()
+		}
+	}()
 	for _, e := range f.Items {
 		if e.No <= w.last {
 			continue
 		}
 		if e.Roster != nil {
-			r, err := e.roster(w.zones, w.kinds, w.bad == e.No)
+			r, err := e.read(w.zones, w.kinds, w.bad == e.No)
 			if err != nil {
 				w.bad = e.No
 				return fmt.Errorf("event %d: %w", e.No, err)
 			}
 			w.sink(r)
+			if w.Changed != nil {
+				w.keep(e.Roster)
+			}
 			w.log.WithFields(logrus.Fields{"event": e.No, "targets": len(r.Entries), "all": r.Full}).
 				Info("worker list changed")
 		}
@@ -254,7 +321,7 @@
 	if err == nil && n == 0 {
 		return nil
 	}
-	before := w.last
+	before, old := w.last, w.old
 	if err == nil {
 		err = w.take(body)
 	}
@@ -272,6 +339,9 @@
 		w.log.Info("bulletin heard again")
 	}
 	w.step(polling.Answered{Conn: c.n, News: w.last > before, Last: last})
+	if old && w.last < before {
+		w.step(polling.Stalled{})
+	}
 	return nil
 }
 
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -191,12 +192,17 @@
 		defer c.Close()
 		return c.LocalAddr().String(), nil
 	}
-	l, err := net.Listen("tcp", f.host)
-	if err != nil {
-		return "", err
+	for {
+		l, err := net.Listen("tcp", f.host)
+		if err != nil {
+			return "", err
+		}
+		l.Close()
+		addr := l.Addr().String()
+		if !slices.ContainsFunc(f.Instances, func(in *Instance) bool { return in.Addr == addr }) {
+			return addr, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
 }
 
 // Tell adds an event to the list.
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -190,7 +190,7 @@
 			}
 			sent := time.Now()
 			r, err := c.Do(ctx, q)
-			if err != nil && reused && time.Since(sent) < crossing {
+			if err != nil && reused && time.Since(sent) < crossing && in.hurt.Load() < sent.Add(-time.Second).UnixNano() {
 				c.Close() // the scheduler closed it just then: sent again, once, on a new one
 				if c, err = fastcgi.Dial(ctx, in.Addr); err != nil {
 					told(fastcgi.Reply{}, fmt.Errorf("%w: %w", errNotTaken, err), 0)
--- a/internal/operator/settings.go
+++ b/internal/operator/settings.go
@@ -15,12 +15,19 @@
 // which Read and None fill in.
 type Settings struct {
 	Log    Log
+	State  *State  // nil where the section is missing: nothing is kept
 	Gossip *Gossip // nil where the section is missing: it is off
 	Rules  []match.Rule
 	Pools  []pools.Pool
 	Routes []pools.Route
 }
 
+// State is the section state.
+type State struct {
+	Snapshot, Fleet string
+	MaxAge          time.Duration
+}
+
 // Log is the section log.
 type Log struct {
 	JSON   bool
@@ -69,6 +76,9 @@
 	if f.Has("gossip") {
 		s.Gossip = f.gossip()
 	}
+	if f.Has("state") {
+		s.State = &State{Snapshot: f.String("state", "snapshot"), Fleet: f.String("state", "fleet"), MaxAge: f.Time("state", "max-age")}
+	}
 	for _, name := range f.names["match"] {
 		s.Rules = append(s.Rules, f.rule(name))
 	}
--- a/internal/operator/table.go
+++ b/internal/operator/table.go
@@ -56,6 +56,7 @@
 // Sections is every section that a file may hold, in the order of the example.
 var Sections = []Section{
 	{"log", "", "What is written to standard error, and how."},
+	{"state", "", "What is kept over a restart, where there is a disk that lasts. Without this section nothing is written."},
 	{"gossip", "", "Shared suspicions: talk to other schedulers of the fleet about workers that seem ill. Without this\n" +
 		"section nothing is sent, no socket is opened and no key is read."},
 	{"match", "RULE", "A rule that decides a request's class, affinity key, route and labels. Rules are tried in the order in\n" +
@@ -83,6 +84,12 @@
 	{Section: "log", Name: "status", Args: []Arg{{Name: "FILE", Type: Path}}, Example: "/run/calicohill/n1.json", Reload: true,
 		Help: "Where SIGUSR1 has the counts of all rules written, as a JSON object. They are logged too."},
 
+	{Section: "state", Name: "snapshot", Args: []Arg{{Name: "FILE", Type: Path}}, Required: true, Example: "/var/lib/calicohill/n1.list",
+		Help: "Where the list of workers is kept. A start takes it up if it is newer than the one that the platform's file\nholds. Only where the list service's numbers outlast a restart of a scheduler."},
+	{Section: "state", Name: "fleet", Args: []Arg{{Name: "NAME", Type: Word}}, Required: true, Example: "gt-registros",
+		Help: "The fleet that the list is of. A list of another one is set aside."},
+	{Section: "state", Name: "max-age", Args: []Arg{{Name: "TIME", Type: Duration, Least: 1, Most: 30 * 86400}}, Default: "1h",
+		Help: "An older list is set aside."},
 	{Section: "gossip", Name: "listen", Args: []Arg{{Name: "ADDRESS", Type: Address}},
 		Example: "127.0.0.1:7946", Required: true, Help: "The UDP address that messages of peers come to."},
 	{Section: "gossip", Name: "fleet", Args: []Arg{{Name: "NAME", Type: Word}},
--- a/internal/polling/polling.go
+++ b/internal/polling/polling.go
@@ -53,8 +53,8 @@
 // Event is what happened: a Begun, Up, Answered, Failed, Moved or Stalled.
 type Event any
 
-// Begun is the start. Listed reports that a list of workers is known already.
-type Begun struct{ Listed bool }
+// Begun is the start. Listed reports that a list of workers is known already, Old that it is from an earlier life.
+type Begun struct{ Listed, Old bool }
 
 // Up is a connection that came up.
 type Up struct{ Conn int }
@@ -158,6 +158,10 @@
 			if e.Listed { // one that has none is of no use to anybody, and asks first
 				c.again += c.within(c.newsWindow)
 			}
+			if e.Old {
+				c.blind = true
+				c.out = append(c.out, Blind{c.newsWindow + blindFor})
+			}
 		case Up:
 			if c.current != nil && c.current.conn == e.Conn {
 				c.ask(now)
--- /dev/null
+++ b/internal/snapshot/snapshot.go
@@ -0,0 +1,158 @@
+// Package snapshot decides on what a scheduler keeps of the list of workers over a restart, for installations with a
+// lasting disk: what a record must be to count, and when one is written. No clock, no I/O.
+package snapshot
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxSize is the longest record that counts, in bytes: as long as the longest list that is taken from the list
+// service, and its frame.
+const MaxSize = 4<<20 + 4096
+
+// Record is the list as it was.
+type Record struct {
+	Fleet string        `cbor:"1,keyasint"`
+	No    int           `cbor:"2,keyasint"` // of the last event in it
+	At    time.Duration `cbor:"3,keyasint"` // Unix time of its making
+	Feed  []byte        `cbor:"4,keyasint"` // the whole list, in the form of an answer of the list service
+}
+
+// The ways in which a record does not count.
+var (
+	ErrTorn    = errors.New("not whole")
+	ErrVersion = errors.New("of another version")
+	ErrFleet   = errors.New("of another fleet")
+	ErrOld     = errors.New("too old")
+	ErrAhead   = errors.New("of a time to come")
+	ErrLarge   = errors.New("too large")
+)
+
+// A record begins with this line, the version in it, and the checksum of what follows.
+var magic, table = []byte("calicohill snapshot 1\n"), crc32.MakeTable(crc32.Castagnoli)
+
+const (
+	family = len("calicohill snapshot ")
+	sum    = 4
+)
+
+// Seal makes the bytes of a record.
+func Seal(r Record) ([]byte, error) {
+	body, err := cbor.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	if len(magic)+sum+len(body) > MaxSize {
+		return nil, fmt.Errorf("snapshot of %d bytes: %w", len(body), ErrLarge)
+	}
+	b := binary.BigEndian.AppendUint32(bytes.Clone(magic), crc32.Checksum(body, table))
+	return append(b, body...), nil
+}
+
+// ahead is how far the clock may have been set back since a record was made.
+const ahead = time.Minute
+
+// Open reads a record that counts: whole, of this version and fleet, and no older than that.
+func Open(b []byte, fleet string, now, oldest time.Duration) (Record, error) {
+	var r Record
+	switch {
+	case len(b) > MaxSize:
+		return r, fmt.Errorf("snapshot of %d bytes: %w", len(b), ErrLarge)
+	case len(b) < len(magic)+sum || !bytes.Equal(b[:family], magic[:family]):
+		return r, fmt.Errorf("snapshot of %d bytes: %w", len(b), ErrTorn)
+	case !bytes.Equal(b[:len(magic)], magic):
+		return r, fmt.Errorf("snapshot %q: %w", b[family:len(magic)-1], ErrVersion)
+	}
+	body := b[len(magic)+sum:]
+	if binary.BigEndian.Uint32(b[len(magic):]) != crc32.Checksum(body, table) {
+		return r, fmt.Errorf("snapshot: checksum: %w", ErrTorn)
+	}
+	if err := cbor.Unmarshal(body, &r); err != nil {
+		return r, fmt.Errorf("snapshot: %w: %w", ErrTorn, err)
+	}
+	switch age := now - r.At; {
+	case r.Fleet != fleet:
+		return r, fmt.Errorf("snapshot of %.64q: %w", r.Fleet, ErrFleet)
+	case age > oldest:
+		return r, fmt.Errorf("snapshot of %v ago: %w", age.Round(time.Second), ErrOld)
+	case age < -ahead:
+		return r, fmt.Errorf("snapshot of %v ahead: %w", (-age).Round(time.Second), ErrAhead)
+	}
+	return r, nil
+}
+
+const (
+	// settle is how long after a change a record is made: changes come in bursts.
+	settle = 100 * time.Millisecond
+	// every is the least time between two records.
+	every = time.Second
+	// againMin and againMax are the pauses after a record that could not be written.
+	againMin, againMax = 2 * time.Second, time.Minute
+)
+
+// Event is what happened: Changed or Written.
+type Event any
+
+// Changed says that the list is another.
+type Changed struct{}
+
+// Written says that a write has ended.
+type Written struct{ Err error }
+
+// Action is what is to be done: Write, or Tell.
+type Action any
+
+// Write has a record of the list as it is made and written. Written follows.
+type Write struct{}
+
+// Tell has it said that writes fail from now on, or, with nil, that they do not any more.
+type Tell struct{ Err error }
+
+// Keeper decides when records are written: the last change always is, one at a time, and never often.
+type Keeper struct {
+	due     time.Duration // when the next is written; 0 if none is
+	not     time.Duration // before this none is
+	writing bool
+	pause   time.Duration // after the next failure; 0 while all is well
+}
+
+// Step takes in what happened and says what is to be done. now never goes back.
+func (k *Keeper) Step(now time.Duration, events ...Event) (out []Action) {
+	for _, e := range events {
+		switch e := e.(type) {
+		case Changed:
+			if k.due == 0 {
+				k.due = max(now+settle, k.not)
+			}
+		case Written:
+			k.writing = false
+			switch {
+			case e.Err != nil:
+				if k.pause == 0 {
+					out = append(out, Tell{e.Err})
+				}
+				k.pause = min(max(2*k.pause, againMin), againMax)
+				k.not = now + k.pause
+				k.due = k.not
+			case k.pause > 0:
+				k.pause = 0
+				out = append(out, Tell{})
+			}
+		}
+	}
+	if k.due > 0 && k.due <= now && !k.writing {
+		k.due, k.not, k.writing = 0, now+every, true
+		out = append(out, Write{})
+	}
+	return out
+}
+
+// Next is when Step is to be called at the latest though nothing happens; false if that need not be.
+func (k *Keeper) Next() (time.Duration, bool) { return k.due, k.due > 0 && !k.writing }
