Open fewer connections side by side to a worker where many schedulers share it

A connection is opened beside another as soon as that one carries a request, whatever the count of schedulers. Ruled out: idle closes (3 to 4%). What is left are first meetings of a scheduler and a worker, which is a choice of the Router.

Line at fault: Pool.start, the condition before widen.

Change: a connection carries a request for each three schedulers, 1 to 4, before another is opened beside it; 3 schedulers do as before.

TestFewConnections: one of 300 keeps to one connection with two requests out; fails without the change.

--- a/cmd/calicohill/program_test.go
+++ b/cmd/calicohill/program_test.go
@@ -341,6 +341,32 @@
 	}
 }
 
+// One of hundreds of schedulers keeps to one connection for the little that it has at a worker, which has to take those
+// of all.
+func TestFewConnections(t *testing.T) {
+	a := newAgent(t, func(n int, g goLine) string {
+		time.Sleep(time.Duration(n%2) * 20 * time.Millisecond) // so that two are out at a time
+		return answerLine(g.id, "OK", "-", strconv.Itoa(g.conn))
+	})
+	s := newSite(t)
+	s.of = 300
+	s.tell(true, "a SERVING "+a.addr)
+	s.start()
+	f, g := s.front(), s.front()
+	for range 20 {
+		f.send(call("consulta", ""))
+		g.send(call("consulta", ""))
+		for _, one := range []*front{f, g} {
+			if got := one.read(); got.status == 200 && got.body != "1" {
+				t.Fatalf("a request went on connection %s", got.body)
+			}
+		}
+	}
+	if len(a.had()) < 20 {
+		t.Errorf("%d requests reached the worker", len(a.had()))
+	}
+}
+
 // Where something on the way forgets connections that rest, that is found out, and none is used after such a rest.
 func TestShortRests(t *testing.T) {
 	a := newAgent(t, echo)
--- a/cmd/calicohill/rig_test.go
+++ b/cmd/calicohill/rig_test.go
@@ -77,6 +77,7 @@
 	changed  chan struct{}
 	spoiled  []func(http.ResponseWriter) // answers to the next polls, in place of the events
 	started  bool
+	of       int // how many schedulers it is told that there are; 0 for itself alone
 	stale    int // how many events the configuration holds; 0 for all
 	idleMs   int
 	sockets  int
@@ -183,7 +184,7 @@
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": s.addr, "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": s.sockets},
 		"bulletin": s.bulletin.Listener.Addr().String(), "known": json.RawMessage(known),
-		"settings": json.RawMessage(fmt.Sprintf(testSettings, s.idleMs))})
+		"settings": json.RawMessage(fmt.Sprintf(strings.Replace(testSettings, `"balancers":1`, `"balancers":`+strconv.Itoa(max(s.of, 1)), 1), s.idleMs))})
 	s.mu.Unlock()
 	if err != nil {
 		s.t.Fatal(err)
--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -121,7 +121,7 @@
 	pool := buffer.NewPool(cfg.MemoryMB << 20 / 3 / buffer.Size)
 	d := dispatch.New(l, router, pool, cfg.Site.MaxOpen)
 	agents := agent.New(l, d, agent.Options{Classes: cfg.Site.ClassNames, Streams: cfg.Site.Streams,
-		IdleClose: cfg.Site.IdleClose, ConnectTimeout: cfg.Site.ConnectTimeout,
+		Schedulers: cfg.Site.Schedulers, IdleClose: cfg.Site.IdleClose, ConnectTimeout: cfg.Site.ConnectTimeout,
 		// gnet ends its loop when a connection cannot be accepted for want of descriptors: another third
 		// stays free for dials under way, the bulletin and the runtime.
 		MaxConns: cfg.Sockets / 3,
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,6 +40,9 @@
 	// spread is how many connections to one worker are used side by side, as far as there is something to carry.
 	// A connection that breaks, by one answer that cannot be read, takes along all that is out on it.
 	spread = 4
+	// carryEach is how many schedulers there are for each request that a connection carries before another is used
+	// beside it, spread requests at most: agents take only so many connections of all of them together.
+	carryEach = 3
 	// aloneFor is how long no connection is added to those of a worker after one did not come up.
 	aloneFor = time.Second
 	// crossing is how long after a request was given up, or answered, another answer to it may still come.
@@ -74,6 +77,7 @@
 	ConnectTimeout time.Duration
 	MaxConns       int // connections to all workers
 	MaxAnswer      int // the longest body of an answer, in bytes
+	Schedulers     int // that share the workers
 }
 
 // Pool keeps the connections to all workers. It is a dispatch.Workers.
@@ -242,7 +246,7 @@
 	}
 	c, usable := p.pick(j)
 	if c != nil {
-		if len(c.out) > 0 && usable < spread {
+		if len(c.out) >= min(max(p.opt.Schedulers/carryEach, 1), spread) && usable < spread {
 			p.widen(w)
 		}
 		c.write(j)
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -136,7 +136,7 @@
 			switch {
 			case e.Err != nil:
 				if k.pause == 0 {
-					out = append(out, Tell{e.Err})
+					out = append(out, Tell(e))
 				}
 				k.pause = min(max(2*k.pause, againMin), againMax)
 				k.not = now + k.pause
