Cut, slow, reset and stretch single ways between schedulers and workers in the scenarios

A fleet whose script has the verb link gets a link of its own from each scheduler to each worker, told at its door of the list service.

--- a/internal/lab/listservice.go
+++ b/internal/lab/listservice.go
@@ -20,7 +20,7 @@
 	began   time.Time
 	timer   *time.Timer
 	doors   map[string]*door
-	events  []string
+	events  []func(door string) string
 	told    []time.Time // when each event was
 	polls   []Poll
 	accepts []time.Time
@@ -138,31 +138,33 @@
 	}
 }
 
-// Tell has the service tell one event more, from the text that makes one of its number.
-func (s *ListService) Tell(event func(no int) string) {
+// Tell has the service tell one event more. event gives it, by its number, as it is told at a door.
+func (s *ListService) Tell(event func(no int, door string) string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.events, s.told = append(s.events, event(len(s.events)+1)), append(s.told, time.Now())
+	no := len(s.events) + 1
+	s.events = append(s.events, func(door string) string { return event(no, door) })
+	s.told = append(s.told, time.Now())
 	s.desk.Number = len(s.events)
 	s.answer()
 }
 
-// Feed is what an ask gets that knows the events up to a number.
-func (s *ListService) Feed(after int) string {
+// Feed is the first events, as an answer at a door holds them; all with a number below 0.
+func (s *ListService) Feed(door string, first int) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.feed(after)
-}
-
-func (s *ListService) feed(after int) string {
-	return fmt.Sprintf(`{"no":%d,"items":[%s]}`, len(s.events), strings.Join(s.events[min(after, len(s.events)):], ","))
+	if first < 0 {
+		first = len(s.events)
+	}
+	return s.feed(door, 0, first)
 }
 
-// first is the first events, as an answer holds them.
-func (s *ListService) first(n int) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return fmt.Sprintf(`{"no":%d,"items":[%s]}`, n, strings.Join(s.events[:n], ","))
+func (s *ListService) feed(door string, after, last int) string {
+	var items []string
+	for _, e := range s.events[min(after, last):last] {
+		items = append(items, e(door))
+	}
+	return fmt.Sprintf(`{"no":%d,"items":[%s]}`, last, strings.Join(items, ","))
 }
 
 // counts is from when on what is told now counts as told to all: at once while the service is well, 2 s after its
@@ -234,7 +236,7 @@
 		s.polls = append(s.polls, Poll{From: d.name, At: time.Now(), After: after})
 		q = &Inquiry{After: after, Till: time.Since(s.began) + time.Duration(wait)*time.Millisecond, Answer: func() {
 			s.polls[n].Answered = time.Now()
-			text := s.feed(after)
+			text := s.feed(d.name, after, len(s.events))
 			s.polls[n].Bytes = len(text)
 			head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(text))
 			switch {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -22,6 +22,8 @@
 //	4s replace SHARE               deletes workers and lists new ones
 //	4s kill|stop|cont|term SHARE   of schedulers: SIGKILL, SIGSTOP, SIGCONT, SIGTERM
 //	4s roll SHARE PAUSE            ends and starts all schedulers, a share at a time
+//	4s link WAY SHARE SHARE        of schedulers and workers, between them: whole, cut, cut-there, cut-back, hang, slow
+//	                               (4,000 bytes a second), far (100 to 200 ms each way) or reset
 //	4s workers FAULT SHARE         sound, mute, stalls, fails or refuses
 type Scenario []Step
 
@@ -160,6 +162,8 @@
 			w.Set(faults[s.Args[0]])
 		}
 		return err
+	case "link":
+		return f.link(s, schedulers, workers)
 	case "known":
 		if len(s.Args) != 1 {
 			return fmt.Errorf("%w: %v", errStep, s)
@@ -176,6 +180,40 @@
 	return nil
 }
 
+// ways is what links can be made to do.
+var ways = map[string]Way{"whole": {}, "cut": {There: true, Back: true}, "cut-there": {There: true}, "cut-back": {Back: true},
+	"hang": {Hang: true}, "slow": {Rate: 4000}, "far": {Delay: 100 * time.Millisecond, Spread: 100 * time.Millisecond}}
+
+// link changes the links between some schedulers and some workers.
+func (f *Fleet) link(s Step, schedulers, workers []int) error {
+	n, err := s.share(1, len(schedulers))
+	if err != nil {
+		return err
+	}
+	m, err := s.share(2, len(workers))
+	way, ok := ways[s.Args[0]]
+	if err != nil || !ok && s.Args[0] != "reset" || !f.Linked {
+		return errors.Join(err, fmt.Errorf("%w: %v", errStep, s))
+	}
+	for _, i := range schedulers[:n] {
+		for _, j := range workers[:m] {
+			f.way(f.Instances[i].Name, f.Workers[j])
+			f.mu.Lock()
+			k := f.links[linked{f.Instances[i].Name, f.Workers[j].ID}]
+			f.mu.Unlock()
+			if k == nil {
+				return fmt.Errorf("no link from %s to %s", f.Instances[i].Name, f.Workers[j].ID)
+			}
+			if ok {
+				err = errors.Join(err, k.Set(way))
+			} else {
+				k.Reset()
+			}
+		}
+	}
+	return err
+}
+
 // replace deletes workers from the list and lists as many new ones.
 func (f *Fleet) replace(gone []*Worker) error {
 	f.Tell(false, gone, "DELETED")
