Wait until nobody accepts before a link counts as cut

Seen: TestLinkCut failed in 7 of 640 plays, 8 side by side: 'a connection comes up over a cut link'. Cause: the goroutine that accepts had passed the check of its deadline and took one connection out of the queue that was to stay full; ruled out: fillers that gave up too early (200 ms instead of 10 ms changed nothing). A link that was made whole again at once could also be left with nobody to accept.

Change: cutting waits until that goroutine has stopped, making whole tells it to go on.

--- a/internal/lab/link.go
+++ b/internal/lab/link.go
@@ -31,6 +31,8 @@
 	filling  []net.Conn // that keep the queue of connections full while it is cut
 	closed   bool
 	held     []held
+	parked   chan struct{} // nobody accepts any more
+	resume   chan struct{}
 }
 
 // held is bytes that were on their way for long.
@@ -58,7 +60,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("link: %w", err)
 	}
-	k := &Link{Addr: l.Addr().String(), to: to, l: l.(*net.TCPListener), changed: make(chan struct{}), conns: map[*net.TCPConn]bool{}}
+	k := &Link{Addr: l.Addr().String(), to: to, l: l.(*net.TCPListener), changed: make(chan struct{}), conns: map[*net.TCPConn]bool{},
+		parked: make(chan struct{}), resume: make(chan struct{})}
 	go k.accept()
 	return k, nil
 }
@@ -69,7 +72,7 @@
 	defer k.mu.Unlock()
 	was := k.line
 	k.line = line
-	close(k.changed)
+	defer close(k.changed) // once all is changed
 	k.changed = make(chan struct{})
 	if was.There == line.There || k.closed {
 		return nil
@@ -79,14 +82,20 @@
 			c.Close()
 		}
 		k.filling = nil
-		return errors.Join(k.queue(1024), k.l.SetDeadline(time.Time{}))
+		err := errors.Join(k.queue(1024), k.l.SetDeadline(time.Time{}))
+		k.resume <- struct{}{}
+		return err
 	}
 	// Nobody accepts and the queue of new connections is full: the system drops the next without a sign.
-	if err := errors.Join(k.l.SetDeadline(time.Now()), k.queue(0)); err != nil {
+	if err := k.l.SetDeadline(time.Now()); err != nil {
+		return err
+	}
+	<-k.parked
+	if err := k.queue(0); err != nil {
 		return err
 	}
 	for range 8 {
-		c, err := net.DialTimeout("tcp", k.Addr, 10*time.Millisecond)
+		c, err := net.DialTimeout("tcp", k.Addr, 200*time.Millisecond)
 		if err != nil {
 			return nil
 		}
@@ -119,8 +128,11 @@
 func (k *Link) Close() {
 	k.mu.Lock()
 	k.closed = true
-	k.mu.Unlock()
 	k.l.Close()
+	if k.line.There {
+		k.resume <- struct{}{}
+	}
+	k.mu.Unlock()
 	k.Reset()
 	_ = k.Set(Way{})
 }
@@ -129,8 +141,8 @@
 	for {
 		c, err := k.l.AcceptTCP()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			_, changed := k.now()
-			<-changed
+			k.parked <- struct{}{}
+			<-k.resume
 			continue
 		}
 		if err != nil {
