Let a fleet that starts wholly cold serve from its first seconds

Cause: coldRoom (rules.go) gives a cold worker a part of what warm ones answer this scheduler, perWeight, and look (health.go) counts that over warm workers alone: where there are none it stays 0 for as long as all are cold. Ruled out: refusals for other reasons (the same calls are served with one start 17 s ago), loads, the list.

Change: where no warm worker stands, answers of cold ones count, over their ripeness, and a better second counts at once; a budget begins at one call at a time answered within the least aim, of all schedulers together. What cold workers answered they can do, and a budget stays below the multiple of it that tips: no decision changes where one warm worker stands.

The laboratory: workers that start cold and fall, with few connections, a cost of a handshake and a store that jams (--body small, verbs boot and jam); Routers before workers in virtual time. TestAllCold and the case 'all cold at once' of TestColdStarts fail without the change.

--- a/cmd/calicohill/coldstart_test.go
+++ b/cmd/calicohill/coldstart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"strings"
 	"testing"
 
 	"calicohill/internal/lab"
@@ -37,6 +38,8 @@
 		{"half stopped", 13, 0, "0s known full\n0s start 1\n3s stop 0.5\n4s drain 0.1\n7s cont 0.5"},
 		{"slow list, slow workers", 14, 0, "0s known full\n0s start 1\n3s workers stalls 0.3\n3s list crowded 0.3\n4s drain 0.1\n9s list well\n9s workers sound 0.3"},
 		{"ended at their start", 9, 0, "0s known full\n0s list silent\n0s start 1\n1s term 0.5\n3s list well\n4s start 1"},
+		// Workers of little room, that fall when they are sent too much while they are cold; nothing was sent to them.
+		{"all cold at once", 12, 0, "0s boot 1\n0s known full\n0s start 1"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -46,6 +49,9 @@
 			}
 			day := lab.ColdDay{Program: self, Env: []string{"CALICOHILL_AS_PROGRAM=1"}, Dir: t.TempDir(), Instances: 24, Of: 300,
 				Workers: 10, Scenario: script, Seconds: c.seconds, Rate: 60, Seed: 1, Say: func(s string) { t.Log(s) }}
+			if strings.Contains(c.script, "boot") {
+				day.Body, day.Of = "small", 24
+			}
 			r, err := day.Run(context.Background())
 			if err != nil {
 				t.Fatal(err)
@@ -53,6 +59,9 @@
 			for _, b := range r.Program.RulesBroken {
 				t.Error(b)
 			}
+			if day.Body != "" && r.Program.Served < 0.3 {
+				t.Errorf("%.2f served by workers that start cold", r.Program.Served)
+			}
 			if r.Program.AllListed < 0 {
 				t.Error("some schedulers did not hear the list again")
 			}
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -144,7 +144,14 @@
 				return errors.New("at least 1 instance, 1 worker, 1 second and a rate are needed")
 			}
 			if virtual {
-				return show(cmd.OutOrStdout(), asJSON, lab.PlayAsks([]int{d.Instances}, d.Seed))
+				workers, err := lab.PlayWorkers(d.Instances, d.Workers, d.Seed)
+				if err != nil {
+					return err
+				}
+				return show(cmd.OutOrStdout(), asJSON, struct {
+					List    []lab.VirtualAsks            `json:"list_service"`
+					Workers map[string]lab.VirtualCourse `json:"workers"`
+				}{lab.PlayAsks([]int{d.Instances}, d.Seed), workers})
 			}
 			text, ok := lab.ColdStarts[scenario]
 			if !ok {
@@ -184,8 +191,10 @@
 	f.StringVar(&scenario, "scenario", "well", "a name, or a `FILE`")
 	f.Float64Var(&d.Seconds, "seconds", 20, "how long each run lasts")
 	f.Float64Var(&d.Rate, "rate", 240, "requests a second, of all instances")
+	f.StringVar(&d.Body, "body", "roomy", "the workers: roomy, or small (few requests at a time, scarce connections)")
+	f.Float64Var(&d.Skew, "skew", 0.1, "how uneven the schedulers' parts of the load are: scheduler i has one in 1 + skew x i")
 	f.Uint64Var(&d.Seed, "seed", 1, "of load and faults")
-	f.BoolVar(&virtual, "virtual", false, "only when the list service is asked, in virtual time")
+	f.BoolVar(&virtual, "virtual", false, "the cores that ask and the Routers alone, in virtual time")
 	f.StringVar(&plotTo, "plot", "", "`FILE`, .svg or .png, for a plot of asks and connections over time")
 	f.BoolVar(&asJSON, "json", false, "print one JSON object in a line")
 	return cmd
--- a/health.go
+++ b/health.go
@@ -74,15 +74,24 @@
 		r.askAgain = 0
 		r.act(Subscribe{true})
 	}
-	size := 0.0
+	size, cold := 0.0, 0.0
 	for _, w := range r.list {
-		if r.watch(w); w.State == Ready && !r.isCold(w) {
+		if r.watch(w); w.State == Ready && r.isCold(w) {
+			cold += w.Weight * r.ripeness(w)
+		} else if w.State == Ready {
 			size += w.Weight
 		}
 	}
+	if r.allCold = size == 0; r.allCold {
+		size = cold
+	}
 	if gap := (r.now - r.servedAt).Seconds(); gap >= 1 {
 		if size > 0 {
-			r.perWeight.Add(r.served/gap/size, meanWeight)
+			rate, part := r.served/gap/size, meanWeight
+			if r.allCold && rate > float64(r.perWeight) {
+				part = 1 // what cold workers answered they can do, whatever they did before
+			}
+			r.perWeight.Add(rate, part)
 		}
 		r.served, r.servedAt = 0, r.now
 		r.tidy()
--- a/internal/lab/coldstart.go
+++ b/internal/lab/coldstart.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -30,6 +31,10 @@
 	"herd":    "0s known full\n0s start 1\n6s kill 0.7\n7s start 1",
 	"mute":    "0s known full\n0s start 1\n6s workers mute 0.2\n6s kill 0.7\n7s start 1\n12s workers sound 0.2",
 	"cut":     "0s known full\n0s start 1\n6s link cut 1 0.2\n6s kill 0.7\n7s start 1\n12s link whole 1 0.2",
+	"cold":    "0s boot 1\n0s known full\n0s start 1",
+	"zone":    "0s known full\n0s start 1\n6s link cut 0.3 1\n9s link whole 0.3 1",
+	"reborn":  "0s known full\n0s start 1\n6s boot 0.4\n6s kill 0.4\n7s start 1",
+	"jammed":  "0s known full\n0s start 1\n6s boot 0.2\n6s jam 4s\n6s kill 0.7\n7s start 1",
 	"stopped": "0s known full\n0s start 1\n6s stop 0.5\n11s cont 0.5",
 	"slow":    "0s known full\n0s start 1\n5s workers stalls 0.3\n5s list crowded 0.2\n6s drain 0.1\n12s workers sound 0.3",
 }
@@ -45,6 +50,8 @@
 	Workers   int
 	Scenario  Scenario
 	Seconds   float64
+	Body      string  // of the workers, by name
+	Skew      float64 // of the load; see Load
 	Rate      float64 // requests a second, of all
 	Seed      uint64
 	Say       func(string)
@@ -71,6 +78,8 @@
 	Handshakes    float64  `json:"handshakes_per_scheduler"`
 	Workers       float64  `json:"workers_per_scheduler"` // that it sent anything
 	Loads         int      `json:"loads"`
+	Pushed        int      `json:"workers_pushed_over"`
+	Crowded       int      `json:"agent_connects_refused"` // over what the workers bear
 	Served        float64  `json:"served_share"`
 	Asked         int      `json:"asked"`
 	Lost          int      `json:"lost"` // no answer at all
@@ -107,6 +116,7 @@
 		return c, err
 	}
 	f := &Fleet{Program: d.Program, Env: d.Env, Dir: dir, Of: d.Of, Linked: slices.ContainsFunc(d.Scenario, func(s Step) bool { return s.Verb == "link" })}
+	f.Body = d.Body
 	defer f.end()
 	if err := f.Prepare(d.Instances, d.Workers); err != nil {
 		return c, err
@@ -130,7 +140,7 @@
 		scripted <- nil
 	}()
 	late := lateness(day)
-	tally := f.Offer(day, Load{Rate: d.Rate, Functions: 3 * d.Workers / 2, Skew: 0.1, Seed: d.Seed})
+	tally := f.Offer(day, Load{Rate: d.Rate, Functions: 3 * d.Workers / 2, Skew: cmp.Or(d.Skew, 0.1), Seed: d.Seed})
 	if err := <-scripted; err != nil {
 		return c, err
 	}
@@ -196,6 +206,12 @@
 		c.agents = append(c.agents, times...)
 		c.AgentConnects = max(c.AgentConnects, Peak(times, 0))
 		shakes += len(times)
+		if !w.Fell().IsZero() {
+			c.Pushed++
+		}
+		w.mu.Lock()
+		c.Crowded += w.refused
+		w.mu.Unlock()
 		from := map[string]bool{}
 		for _, a := range w.Arrivals() {
 			from[a.From] = true
@@ -239,7 +255,7 @@
 }
 
 // check holds the history of a fleet against the rules: nothing new to a worker later than 1 s after its scheduler was
-// told that it leaves, at most 4 attempts, certificado never run twice, an answer to each request.
+// told that it leaves, at most 4 attempts, certificado never run twice, no cold worker pushed over, an answer to each request.
 func (f *Fleet) check(t Tally, slack time.Duration) (broken []string) {
 	say := func(format string, args ...any) { broken = append(broken, fmt.Sprintf(format, args...)) }
 	if t.Lost > 0 {
@@ -251,6 +267,9 @@
 	}
 	attempts, runs := map[string]int{}, map[string]int{}
 	for _, w := range f.Workers {
+		if at := w.Fell(); !at.IsZero() {
+			say("%s was pushed over while it was cold", w.ID)
+		}
 		gone, leaves := f.leaving[w]
 		for _, a := range w.Arrivals() {
 			attempts[a.ID]++
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -22,8 +23,8 @@
 	"calicohill/internal/fleetkey"
 )
 
-// settings is a platform's settings as a fleet of the laboratory has them.
-const settings = `{"balancers":%d,"rank":%d,"az":0,"tickMs":4,"dcs":["here"],"shapes":["std"],
+// platform is a platform's settings as a fleet of the laboratory has them.
+const platform = `{"balancers":%d,"rank":%d,"az":0,"tickMs":4,"dcs":["here"],"shapes":["std"],
  "ceilings":{"attemptsCap":4,"cancel":true,"secondCopies":true,"retryAfter":true,"maxRetryAfterMs":500,
   "multiplex":100,"idleCloseMs":15000,"connectTimeoutMs":250},
  "classes":[
@@ -49,7 +50,9 @@
 	List  *ListService
 	Known string // which events schedulers are configured with: full (as ""), old (the first alone) or empty
 
-	Of int // how many schedulers there are as they are told; 0 for those that there are
+	Body  string // of its workers, by name; "" for roomy ones
+	Store *Store
+	Of    int // how many schedulers there are as they are told; 0 for those that there are
 
 	host   string // of all its schedulers
 	Linked bool   // each scheduler has a link of its own to each worker
@@ -141,7 +144,7 @@
 
 // Prepare has workers and their bulletin run and writes the files of schedulers, which do not run yet.
 func (f *Fleet) Prepare(instances, workers int) error {
-	f.List = NewListService()
+	f.List, f.Store = NewListService(), newStore()
 	var err error
 	if f.Authority, err = fleetkey.NewAuthority("lab", time.Now().Add(-time.Hour), 24*time.Hour); err != nil {
 		return err
@@ -151,7 +154,7 @@
 	}
 	f.leaving, f.links = map[*Worker]left{}, map[linked]*Link{}
 	for i := range workers {
-		w, err := NewWorker(fmt.Sprintf("w%02d", i))
+		w, err := f.worker(fmt.Sprintf("w%02d", i), time.Time{})
 		if err != nil {
 			f.Close()
 			return err
@@ -179,6 +182,15 @@
 	return nil
 }
 
+// worker has a worker run, a cold one if born is not zero.
+func (f *Fleet) worker(id string, born time.Time) (*Worker, error) {
+	body, ok := Bodies[cmp.Or(f.Body, "roomy")]
+	if !ok {
+		return nil, fmt.Errorf("no workers of body %q", f.Body)
+	}
+	return NewWorker(id, body, f.Store, born)
+}
+
 // fleets counts the fleets of this process.
 var fleets atomic.Uint32
 
@@ -219,8 +231,8 @@
 	f.List.Tell(func(no int, door string) string {
 		var list []string
 		for _, w := range workers {
-			list = append(list, fmt.Sprintf(`{"uid":%q,"state":%q,"endpoint":%q,"az":"here","model":"std","boot_ms":0}`,
-				w.ID, state, f.way(door, w)))
+			list = append(list, fmt.Sprintf(`{"uid":%q,"state":%q,"endpoint":%q,"az":"here","model":"std","boot_ms":%d}`,
+				w.ID, state, f.way(door, w), max(w.born.UnixMilli(), 0)))
 		}
 		return fmt.Sprintf(`{"no":%d,"roster":{"rev":1,"all":%v,"targets":[%s]}}`, no, all, strings.Join(list, ","))
 	})
@@ -267,7 +279,7 @@
 	text, err := json.Marshal(map[string]any{"name": in.Name, "listen": in.Addr, "seed": fmt.Sprintf("%016x", rank+1),
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"bulletin": door, "known": json.RawMessage(f.known(in.Name)),
-		"settings": json.RawMessage(fmt.Sprintf(settings, max(f.Of, len(f.Instances)), rank))})
+		"settings": json.RawMessage(fmt.Sprintf(platform, max(f.Of, len(f.Instances)), rank))})
 	if err != nil {
 		return err
 	}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -42,6 +42,20 @@
 	share float64
 }{{"consulta", 0.39}, {"registro-horas", 0.35}, {"certificado", 0.26}}
 
+// pickClass is the number of the class that a draw from 0 to 1 falls on.
+func pickClass(x float64) int {
+	for i, c := range classes {
+		if x < c.share {
+			return i
+		}
+		x -= c.share
+	}
+	return len(classes) - 1
+}
+
+// part is how much of the load an instance gets, beside the first one's 1.
+func (l Load) part(i int) float64 { return 1 / (1 + l.Skew*float64(i)) }
+
 // Wait waits until all instances serve.
 func (f *Fleet) Wait(ctx context.Context, within time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, within)
@@ -78,15 +92,14 @@
 	var all Tally
 	var wg sync.WaitGroup
 	total := 0.0
-	part := func(i int) float64 { return 1 / (1 + l.Skew*float64(i)) }
 	for i := range f.Instances {
-		total += part(i)
+		total += l.part(i)
 	}
 	for i, in := range f.Instances {
 		wg.Go(func() {
 			rng := rand.New(rand.NewPCG(l.Seed, uint64(i)))
 			zipf := rand.NewZipf(rng, 1.3, 4, uint64(l.Functions-1))
-			rate := l.Rate * part(i) / total
+			rate := l.Rate * l.part(i) / total
 			if in.healthy(ctx) != nil {
 				return
 			}
@@ -97,13 +110,7 @@
 					if !sleep(ctx, time.Until(start.Add(time.Duration(due*float64(time.Second))))) {
 						return
 					}
-					x, class := rng.Float64(), ""
-					for _, c := range classes {
-						if class = c.name; x < c.share {
-							break
-						}
-						x -= c.share
-					}
+					class := classes[pickClass(rng.Float64())].name
 					q := fastcgi.Request{Path: "/rpc/" + class, ID: fmt.Sprintf("%04x%012x", i, rng.Uint64()&(1<<48-1)),
 						Function: fmt.Sprintf("%016x", zipf.Uint64()+1), OnceKey: fmt.Sprintf("%04x%016x", i, rng.Uint64()),
 						Budget: 2 * time.Second, Spec: "memory_mb:512;lanes:4", Body: []byte(in.Name + " asks")}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -19,11 +19,13 @@
 //	4s break                       breaks all connections of the list service
 //	4s tell                        an event that says again what the list has
 //	4s drain SHARE                 has workers drain
-//	4s replace SHARE               deletes workers and lists new ones
+//	4s replace SHARE [cold]        deletes workers and lists new ones, that start then if they are cold
 //	4s kill|stop|cont|term SHARE   of schedulers: SIGKILL, SIGSTOP, SIGCONT, SIGTERM
 //	4s roll SHARE PAUSE            ends and starts all schedulers, a share at a time
 //	4s link WAY SHARE SHARE        of schedulers and workers, between them: whole, cut, cut-there, cut-back, hang, slow
 //	                               (4,000 bytes a second), far (100 to 200 ms each way) or reset
+//	4s boot SHARE                  has workers start anew at their address, empty and cold
+//	4s jam PAUSE                   the store that all workers load from serves nothing for so long
 //	4s workers FAULT SHARE         sound, mute, stalls, fails or refuses
 type Scenario []Step
 
@@ -155,7 +157,25 @@
 		if err != nil {
 			return err
 		}
-		return f.replace(list)
+		born := time.Time{}
+		if len(s.Args) > 1 && s.Args[1] == "cold" {
+			born = time.Now()
+		}
+		return f.replace(list, born)
+	case "boot":
+		list, err := some(0)
+		for _, w := range list {
+			w.boot()
+		}
+		f.Tell(false, list, "SERVING")
+		return err
+	case "jam":
+		if len(s.Args) != 1 {
+			return fmt.Errorf("%w: %v", errStep, s)
+		}
+		d, err := time.ParseDuration(s.Args[0])
+		f.Store.Jam(d)
+		return err
 	case "workers":
 		list, err := some(1)
 		for _, w := range list {
@@ -215,11 +235,11 @@
 }
 
 // replace deletes workers from the list and lists as many new ones.
-func (f *Fleet) replace(gone []*Worker) error {
+func (f *Fleet) replace(gone []*Worker, born time.Time) error {
 	f.Tell(false, gone, "DELETED")
 	var fresh []*Worker
 	for _, w := range gone {
-		n, err := NewWorker(w.ID + "x")
+		n, err := f.worker(w.ID+"x", born)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/lab/shoal.go
@@ -0,0 +1,270 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"calicohill"
+	"calicohill/internal/deadline"
+	"calicohill/internal/settings"
+)
+
+// VirtualDay is schedulers before workers in virtual time: the Routers, and nothing else of a scheduler.
+type VirtualDay struct {
+	Schedulers, Workers int
+	Body                string  // of the workers, by name
+	Cold                bool    // they start with the day, empty and cold
+	Killed              float64 // share of the schedulers that know nothing again at half time
+	Rate, Skew          float64 // as a Load's
+	Seconds             int
+	Seed                uint64
+}
+
+// VirtualCourse is what a VirtualDay gave.
+type VirtualCourse struct {
+	Schedulers   int       `json:"schedulers"`
+	Workers      int       `json:"workers"`
+	Served       float64   `json:"served_share"`
+	BySecond     []float64 `json:"served_share_by_second"`
+	Refused      int       `json:"refused"`
+	Handshakes   float64   `json:"handshakes_per_scheduler"`
+	ConnectsPeak int       `json:"agent_connects_peak_100ms"` // at the worker that saw the most
+	Loads        int       `json:"loads"`
+	Pushed       int       `json:"workers_pushed_over"`
+}
+
+// shoal is a VirtualDay that is played.
+type shoal struct {
+	now      time.Duration
+	deadline deadline.Queue
+	workers  map[string]*vessel
+	body     Body
+	course   *VirtualCourse
+	began    time.Duration
+	asked    []int
+	served   []int
+}
+
+// vessel is a worker in virtual time.
+type vessel struct {
+	born     time.Duration // 0 of one that is warm
+	fell     bool
+	loaded   map[string]time.Duration // when a function stands
+	lanes    []time.Duration          // when each is free
+	got      []time.Duration
+	used     map[int]time.Duration // the connection of a scheduler, when last
+	connects []time.Duration
+}
+
+// swimmer is a scheduler in virtual time.
+type swimmer struct {
+	*shoal
+	n      int
+	router *calicohill.Router
+	life   int
+	open   map[string]*errand
+}
+
+// errand is a request that is not answered yet.
+type errand struct {
+	function string
+	at       time.Duration
+	attempts []bool // that are out
+}
+
+// rests is how long a scheduler keeps a connection that nothing goes over, with the settings of the laboratory.
+const rests = 12750 * time.Millisecond
+
+// Play plays the day.
+func (d VirtualDay) Play() (VirtualCourse, error) {
+	c := VirtualCourse{Schedulers: d.Schedulers, Workers: d.Workers}
+	f := &shoal{now: time.Hour, began: time.Hour, workers: map[string]*vessel{}, body: Bodies[d.Body], course: &c,
+		asked: make([]int, d.Seconds+1), served: make([]int, d.Seconds+1)}
+	list := calicohill.WorkerList{Kind: calicohill.ListFull}
+	for i := range d.Workers {
+		w := &vessel{loaded: map[string]time.Duration{}, lanes: make([]time.Duration, f.body.Lanes), used: map[int]time.Duration{}}
+		if d.Cold {
+			w.born = f.now
+		}
+		id := fmt.Sprintf("w%03d", i)
+		f.workers[id] = w
+		list.Workers = append(list.Workers, calicohill.Worker{ID: id, State: calicohill.Ready, Weight: 1, Started: w.born})
+	}
+	site, err := settings.Parse(fmt.Appendf(nil, platform, d.Schedulers, 0))
+	if err != nil {
+		return c, err
+	}
+	total := 0.0
+	load := Load{Skew: d.Skew}
+	for i := range d.Schedulers {
+		total += load.part(i)
+	}
+	for i := range d.Schedulers {
+		s := &swimmer{shoal: f, n: i}
+		start := func() {
+			router, failed := calicohill.New(site.Settings, d.Seed<<20+uint64(i)<<1+uint64(s.life))
+			s.life++
+			s.router, s.open, err = router, map[string]*errand{}, failed
+			s.step(list)
+		}
+		if start(); err != nil {
+			return c, err
+		}
+		if float64(i) < d.Killed*float64(d.Schedulers) {
+			f.after(time.Duration(d.Seconds)*time.Second/2, start)
+		}
+		s.ask(rand.New(rand.NewPCG(d.Seed, uint64(i))), d.Rate*load.part(i)/total, uint64(3*d.Workers/2))
+	}
+	for end := f.began + time.Duration(d.Seconds)*time.Second; ; {
+		at, ok := f.deadline.Next()
+		if !ok || at > end {
+			break
+		}
+		f.now = at
+		f.deadline.Due(at).Fire()
+	}
+	asked, served := 0, 0
+	for i := range d.Seconds {
+		asked, served = asked+f.asked[i], served+f.served[i]
+		c.BySecond = append(c.BySecond, float64(f.served[i])/max(float64(f.asked[i]), 1))
+	}
+	c.Served = float64(served) / max(float64(asked), 1)
+	shakes := 0
+	for _, w := range f.workers {
+		shakes += len(w.connects)
+		c.ConnectsPeak = max(c.ConnectsPeak, Peak(w.connects, 0))
+		if w.fell {
+			c.Pushed++
+		}
+	}
+	c.Handshakes = float64(shakes) / float64(d.Schedulers)
+	return c, nil
+}
+
+func (f *shoal) after(d time.Duration, do func()) { f.deadline.Set(&deadline.Entry{Fire: do}, f.now+d) }
+
+func (f *shoal) second(at time.Duration) int {
+	return min(int((at-f.began)/time.Second), len(f.asked)-1)
+}
+
+// ask has clients ask a scheduler for as long as the day lasts.
+func (s *swimmer) ask(rng *rand.Rand, rate float64, functions uint64) {
+	zipf, n := rand.NewZipf(rng, 1.3, 4, functions-1), 0
+	var next func()
+	next = func() {
+		n++
+		class, function := pickClass(rng.Float64()), fmt.Sprintf("%016x", zipf.Uint64()+1)
+		id := fmt.Sprintf("%d-%d", s.n, n)
+		s.open[id] = &errand{function: function, at: s.now}
+		s.asked[s.second(s.now)]++
+		s.step(calicohill.Request{ID: id, Class: class, Function: function, TimeLeft: 2 * time.Second, Lanes: 4})
+		s.after(time.Duration(rng.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	s.after(time.Duration(rng.ExpFloat64()/rate*float64(time.Second)), next)
+}
+
+func (s *swimmer) step(events ...calicohill.Event) {
+	life := s.life
+	later := func(d time.Duration, do func()) {
+		s.after(d, func() {
+			if s.life == life {
+				do()
+			}
+		})
+	}
+	for _, a := range s.router.Step(s.now, events) {
+		switch a := a.(type) {
+		case calicohill.SetTimer:
+			wait := a.After
+			if len(s.open) == 0 { // there is nothing that it could find
+				wait *= 10
+			}
+			later(wait, func() { s.step(calicohill.TimerFired{Token: a.Token}) })
+		case calicohill.Refuse:
+			s.course.Refused++
+			delete(s.open, a.ID)
+		case calicohill.Fail:
+			delete(s.open, a.ID)
+		case calicohill.Cancel:
+			later(0, func() { s.ended(a.ID, a.Attempt, calicohill.AttemptEnd{Outcome: calicohill.Cancelled}) })
+		case calicohill.Send:
+			q := s.open[a.ID]
+			n := len(q.attempts)
+			q.attempts = append(q.attempts, true)
+			took, ok := s.workers[a.Worker].take(s, q.function)
+			e := calicohill.AttemptEnd{Worker: a.Worker, Outcome: calicohill.Served, Closed: true, Latency: took}
+			switch {
+			case !ok:
+				e.Outcome, e.Closed = calicohill.Unreached, false
+			case took > a.Timeout:
+				took, e.Outcome, e.Closed = a.Timeout, calicohill.TimedOut, false
+			}
+			later(took, func() { s.ended(a.ID, n, e) })
+		}
+	}
+}
+
+func (s *swimmer) ended(id string, n int, e calicohill.AttemptEnd) {
+	q := s.open[id]
+	if q == nil || !q.attempts[n] {
+		return
+	}
+	q.attempts[n] = false
+	if e.Closed {
+		s.served[s.second(q.at)]++
+		delete(s.open, id)
+	}
+	e.ID, e.Attempt, e.Company = id, n, -1
+	s.step(e)
+}
+
+// take has a worker run a function for a scheduler, and tells how long the answer takes; false if it has fallen.
+func (w *vessel) take(s *swimmer, function string) (time.Duration, bool) {
+	now := s.now
+	if last, ok := w.used[s.n]; !ok || now-last > rests {
+		w.connects = append(w.connects, now)
+	}
+	w.used[s.n] = now
+	age := coldFor
+	if w.born > 0 {
+		age = now - w.born
+	}
+	w.got = append(w.got, now)
+	for now-w.got[0] > tipFor {
+		w.got = w.got[1:]
+	}
+	w.fell = w.fell || float64(len(w.got)) > s.body.bears(age)
+	stands, ok := w.loaded[function]
+	if !ok {
+		s.course.Loads++
+		stands = now + s.body.Load
+		w.loaded[function] = stands
+	}
+	lane := 0
+	for i, free := range w.lanes {
+		if free < w.lanes[lane] {
+			lane = i
+		}
+	}
+	w.lanes[lane] = max(now, stands, w.lanes[lane]) + time.Duration(float64(s.body.Work)/ripe(age))
+	return w.lanes[lane] - now + 2*trip, !w.fell
+}
+
+// PlayWorkers plays starts of fleets in virtual time: workers that are warm, and that are cold, with schedulers that
+// know nothing, and with seven in ten of them killed at half time. Workers grow in number with the load.
+func PlayWorkers(schedulers, workers int, seed uint64) (map[string]VirtualCourse, error) {
+	all := map[string]VirtualCourse{}
+	for name, d := range map[string]VirtualDay{"warm": {}, "cold": {Cold: true}, "killed": {Killed: 0.7},
+		"cold, uneven": {Cold: true, Skew: 3}} {
+		d.Schedulers, d.Workers, d.Body, d.Seconds, d.Seed = schedulers, workers, "small", 16, seed
+		d.Rate = 8 * float64(workers) // a third of what they can do
+		c, err := d.Play()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", strings.ToLower(name), err)
+		}
+		all[name] = c
+	}
+	return all, nil
+}
--- a/internal/lab/worker.go
+++ b/internal/lab/worker.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -27,13 +28,64 @@
 	Refuses       // closes every connection at once
 )
 
+// Body is what a stand-in worker has.
+type Body struct {
+	Lanes int           // requests at a time
+	Work  time.Duration // that one takes
+	Load  time.Duration // that a load takes where the store is well
+	Conns int           // connections that it bears; it resets more. 0 means any number
+	Shake time.Duration // of a lane, for a new connection
+}
+
+// Bodies is what workers may have, by name.
+var Bodies = map[string]Body{
+	"roomy": {Lanes: 8, Work: 15 * time.Millisecond, Load: 60 * time.Millisecond},
+	"small": {Lanes: 2, Work: 80 * time.Millisecond, Load: 300 * time.Millisecond, Conns: 48, Shake: 2 * time.Millisecond},
+}
+
+// What a cold worker bears, as the settings of the laboratory tell it.
+const (
+	coldFor, coldShare, tipFor, tipMultiple = 17 * time.Second, 0.25, 2 * time.Second, 3
+)
+
+// Store is the handler store that all workers load from: a few fetches at a time, and none while it is jammed.
+type Store struct {
+	mu     sync.Mutex
+	till   time.Time
+	places chan struct{}
+}
+
+func newStore() *Store { return &Store{places: make(chan struct{}, 12)} }
+
+// Jam has the store serve nothing for a time.
+func (s *Store) Jam(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.till = time.Now().Add(d)
+}
+
+// fetch waits until what takes so long is loaded.
+func (s *Store) fetch(takes time.Duration) {
+	s.places <- struct{}{}
+	defer func() { <-s.places }()
+	s.mu.Lock()
+	jam := time.Until(s.till)
+	s.mu.Unlock()
+	time.Sleep(max(jam, 0) + takes)
+}
+
 // Worker is a stand-in node agent. It holds functions loaded, runs a few requests at a time and has faults.
 type Worker struct {
 	ID, Addr string
+	body     Body
+	store    *Store
+	born     time.Time // of one that starts cold; zero for one that is warm
+	fell     time.Time // pushed over while it was cold
+	refused  int       // connections over what it bears
 	l        net.Listener
 	mu       sync.Mutex
 	fault    Fault
-	loaded   map[string]time.Time // when a function stands
+	loaded   map[string]chan struct{} // closed once the function stands
 	arrivals []Arrival
 	accepts  []time.Time
 	conns    map[net.Conn]bool
@@ -49,21 +101,14 @@
 	Load      bool // it began a load
 }
 
-// The speed of a stand-in worker.
-const (
-	workTime = 15 * time.Millisecond
-	loadTime = 60 * time.Millisecond
-	atATime  = 8
-)
-
-// NewWorker starts a worker on loopback.
-func NewWorker(id string) (*Worker, error) {
+// NewWorker starts a worker on loopback, a cold one if born is not zero.
+func NewWorker(id string, b Body, s *Store, born time.Time) (*Worker, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("stand-in worker: %w", err)
 	}
-	w := &Worker{ID: id, Addr: l.Addr().String(), l: l, loaded: map[string]time.Time{}, conns: map[net.Conn]bool{},
-		lanes: make(chan struct{}, atATime)}
+	w := &Worker{ID: id, Addr: l.Addr().String(), body: b, store: s, born: born, l: l,
+		loaded: map[string]chan struct{}{}, conns: map[net.Conn]bool{}, lanes: make(chan struct{}, b.Lanes)}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -71,7 +116,11 @@
 				return
 			}
 			w.mu.Lock()
-			refuse := w.fault == Refuses
+			refuse := w.fault == Refuses || !w.fell.IsZero()
+			if b.Conns > 0 && len(w.conns) >= b.Conns {
+				w.refused++
+				refuse = true
+			}
 			w.accepts = append(w.accepts, time.Now())
 			w.conns[c] = true
 			w.mu.Unlock()
@@ -81,6 +130,11 @@
 			}
 			go func() {
 				defer w.drop(c)
+				if b.Shake > 0 {
+					w.lanes <- struct{}{}
+					time.Sleep(b.Shake)
+					<-w.lanes
+				}
 				_ = w.serve(c) // the scheduler closes connections as it likes
 			}()
 		}
@@ -195,11 +249,18 @@
 	stands, known := w.loaded[function]
 	w.arrivals = append(w.arrivals, Arrival{time.Now(), from, fault, id, class, !known})
 	if !known {
-		stands = time.Now().Add(loadTime)
+		stands = make(chan struct{})
 		w.loaded[function] = stands
+		go func() { w.store.fetch(w.body.Load); close(stands) }()
+	}
+	share := ripe(w.age(time.Now()))
+	if w.fell.IsZero() && w.pushed(time.Now()) {
+		w.fell = time.Now()
+		for c := range w.conns {
+			c.Close()
+		}
 	}
 	w.mu.Unlock()
-	wait := time.Until(stands)
 	switch fault {
 	case Mute:
 		return
@@ -207,9 +268,11 @@
 		write(id + " ERR - 0\r\n\r\n")
 		return
 	case Stalls:
-		wait += 500 * time.Millisecond
+		sleep(ctx, 500*time.Millisecond)
 	}
-	if !sleep(ctx, wait) {
+	select {
+	case <-stands:
+	case <-ctx.Done():
 		return
 	}
 	select {
@@ -217,13 +280,57 @@
 	case <-ctx.Done():
 		return
 	}
-	ok := sleep(ctx, workTime)
+	ok := sleep(ctx, time.Duration(float64(w.body.Work)/share))
 	<-w.lanes
 	if ok && w.now() != Mute {
 		write(fmt.Sprintf("%s OK depth=0,l=util:0.10 %d\r\n%s\r\n", id, len(body), body))
 	}
 }
 
+// boot starts a worker anew: empty, cold, its connections gone.
+func (w *Worker) boot() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.born, w.fell, w.loaded = time.Now(), time.Time{}, map[string]chan struct{}{}
+	for c := range w.conns {
+		c.Close()
+	}
+}
+
+// ripe is the share of its capacity that a worker has so long after its start.
+func ripe(age time.Duration) float64 {
+	return min(1, coldShare+(1-coldShare)*age.Seconds()/coldFor.Seconds())
+}
+
+// bears is how many requests within tipFor a worker bears so long after its start: N + 3 x root of N + 3, N what a
+// multiple of its capacity then serves. One that is warm bears any number.
+func (b Body) bears(age time.Duration) float64 {
+	if age >= coldFor {
+		return math.Inf(1)
+	}
+	n := tipMultiple * ripe(age) * float64(b.Lanes) / b.Work.Seconds() * tipFor.Seconds()
+	return n + 3*math.Sqrt(n) + 3
+}
+
+// age is how long ago a worker started; long ago for one that is warm.
+func (w *Worker) age(now time.Time) time.Duration { return now.Sub(w.born) }
+
+// pushed reports whether a cold worker was sent more than it bears.
+func (w *Worker) pushed(now time.Time) bool {
+	got := 0
+	for i := len(w.arrivals) - 1; i >= 0 && now.Sub(w.arrivals[i].At) <= tipFor; i-- {
+		got++
+	}
+	return float64(got) > w.body.bears(w.age(now))
+}
+
+// Fell is when a worker was pushed over; zero if it was not.
+func (w *Worker) Fell() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fell
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
--- a/learn.go
+++ b/learn.go
@@ -133,7 +133,7 @@
 	p.life, p.warm, p.at, p.loading = w.life, true, r.now, false
 	w.sheds, f.served = 0, true
 	w.errs.Set(r.now, r.errsOf(w)*(1-errsWeight))
-	if !r.isCold(w) {
+	if r.allCold || !r.isCold(w) {
 		r.served++
 	}
 	f.slowest.Note(r.now, 2*r.set.KeepAlive, lat)
--- a/router.go
+++ b/router.go
@@ -86,8 +86,9 @@
 	loads         bucket.Ration  // of orders to load
 	shares        *bucket.Shares // of tenants
 
-	// answers of warm workers since servedAt; and in a second, for a worker of size 1
+	// answers of warm workers since servedAt, of all if all are cold; and in a second, for a worker of size 1
 	served                       float64
+	allCold                      bool // there is no warm worker
 	perWeight                    decay.Mean
 	servedAt, askAgain, lastCall time.Duration
 	blindTill                    time.Duration // nothing is sent until then: the list may be old
--- a/rules.go
+++ b/rules.go
@@ -50,7 +50,10 @@
 }
 
 // coldRoom keeps a cold worker's budget: in each window that could tip it, this scheduler sends no more than
-// its share of what the worker can do, guessed from what warm workers answer this scheduler.
+// its share of what the worker can do, guessed from what warm workers answer this scheduler. Where all are
+// cold it is guessed from what they answer themselves, as ripe as they are: together all schedulers never
+// send more than a multiple, below the one that tips, of what was answered. It begins at one call at a time,
+// answered within the least aim.
 func (r *Router) coldRoom(w *worker) bool {
 	if !r.isCold(w) {
 		return true
@@ -58,10 +61,13 @@
 	if r.now >= w.quotaTill {
 		// Shares under one call would add up if rounded: each scheduler draws whether it has one, and
 		// what it leaves unused lapses, or all savings could come at once.
-		most := coldMargin * r.set.TipMultiple * r.set.TipFor.Seconds()
-		budget := most * r.ripeness(w) * w.Weight * float64(r.perWeight)
+		rate, span := float64(r.perWeight), r.set.TipFor
+		if r.allCold {
+			rate, span = max(rate, 1/r.leastAim/float64(r.set.Schedulers)), min(span, time.Second)
+		}
+		budget := coldMargin * r.set.TipMultiple * span.Seconds() * r.ripeness(w) * w.Weight * rate
 		w.quota = int(budget + r.rng.Float64())
-		w.quotaTill = r.now + r.set.TipFor
+		w.quotaTill = r.now + span
 	}
 	return w.quota > 0
 }
