Keep what was learned over a restart, with the list

Need: with a lasting disk a restarted scheduler had its list and nothing else: copies that stand, service times, what warm workers answer and how pressed they are had to be found out again, also by budgets of cold workers, which are 0 until a warm worker has answered for a second.

Copies of workers that started since, figures that are none, other classes and times to come are passed over. Health is not kept.

--- a/api.go
+++ b/api.go
@@ -222,6 +222,9 @@
 // until then, or until another says 0.
 type ListOld struct{ For time.Duration }
 
+// Recalled brings what an earlier process of this scheduler learned. It follows the first WorkerList.
+type Recalled struct{ Memory Memory }
+
 // PoolsChanged says that some Pool has other workers than before.
 type PoolsChanged struct{}
 
@@ -356,6 +359,7 @@
 func (PeersHold) event()    {}
 func (PoolsChanged) event() {}
 func (ListOld) event()      {}
+func (Recalled) event()     {}
 
 // Action is something that a Router asks for, to be done in the order given. The concrete types are Send,
 // Cancel, Refuse, Fail, SetTimer, Probe, Load, Unload, Subscribe, FetchList and, where Settings.Observed, Observe.
--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -200,12 +200,16 @@
 		log.WithField("bulletin", next.Bulletin).Info("configuration read again")
 	}
 	draining := false
+	var memory *calicohill.Memory
 	if own.State != nil {
-		restore(watch, own.State, l, parts.Part("bulletin"))
+		memory = restore(watch, own.State, l, d, parts.Part("bulletin"))
 	}
 	l.Accept, l.Stalled, watch.Blind = server.Accept, watch.Stalled, d.Blind
 	l.Boot = func() {
 		watch.Start()
+		if memory != nil {
+			d.Recall(*memory)
+		}
 		if peers != nil {
 			peers.Run()
 		}
@@ -234,20 +238,26 @@
 	return nil
 }
 
-// restore takes up the list of an earlier life, if it counts, and has it kept from now on.
-func restore(watch *bulletin.Watch, state *operator.State, l *loop.Loop, log *logrus.Entry) {
+// restore takes up the list of an earlier life, if it counts, has the list and what is learned kept from now on, and
+// returns what was learned; nil if none of it counts.
+func restore(watch *bulletin.Watch, state *operator.State, l *loop.Loop, d *dispatch.Dispatcher, log *logrus.Entry) (
+	memory *calicohill.Memory) {
 	r, err := snapshotfile.Read(state.Snapshot, state.Fleet, l.Now(), state.MaxAge)
 	newer := false
 	if err == nil && r.No > 0 {
 		newer, err = watch.Restore(r.Feed)
+		memory = &r.Memory
 	}
 	switch {
 	case err != nil:
 		log.WithError(err).Warn("snapshot set aside")
-	case newer:
-		log.WithFields(logrus.Fields{"event": r.No, "age": (l.Now() - r.At).Round(time.Second)}).Info("snapshot taken up")
+		memory = nil
+	case r.No > 0:
+		log.WithFields(logrus.Fields{"event": r.No, "newer": newer, "functions": len(r.Memory.Functions),
+			"age": (l.Now() - r.At).Round(time.Second)}).Info("snapshot taken up")
 	}
-	watch.Changed = snapshotfile.New(l, state.Snapshot, state.Fleet, watch.List, log).Changed
+	watch.Changed = snapshotfile.New(l, state.Snapshot, state.Fleet, watch.List, d.Memory, log).Changed
+	return memory
 }
 
 // orNone is the routes, or nil where there are none.
--- a/cmd/calicohill/snapshot_test.go
+++ b/cmd/calicohill/snapshot_test.go
@@ -86,6 +86,33 @@
 	}
 }
 
+// What was learned is kept with the list: after a crash calls go where copies of their functions stood, and begin no
+// loads at a worker that came since.
+func TestSnapshotOfWhatWasLearned(t *testing.T) {
+	a, b := newAgent(t, named("a")), newAgent(t, named("b"))
+	s, file := keeping(t, t.TempDir())
+	s.tell(true, "b SERVING "+b.addr)
+	s.start()
+	ask := func() {
+		for i := range 12 {
+			f := s.front()
+			f.send(call("consulta", "x", [2]string{"HTTP_RESOURCE_KEY", fmt.Sprintf("%016x", i+1)}))
+			if got := f.read(); got.body != "b" {
+				t.Errorf("function %d: status %d, body %q", i+1, got.status, got.body)
+			}
+		}
+	}
+	ask()
+	s.tell(false, "a SERVING "+a.addr)
+	until(t, "the list is kept", func() bool { return kept(t, file) == 2 })
+	s.killed()
+	s.start()
+	ask()
+	if n := len(a.had()); n > 0 {
+		t.Errorf("%d calls went where no copy stood", n)
+	}
+}
+
 // What is kept and does not count is set aside with one line, and what cannot be kept is said once; the start and the
 // service go on without.
 func TestSnapshotOfNoUse(t *testing.T) {
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -192,6 +192,7 @@
 	f.Float64Var(&d.Seconds, "seconds", 20, "how long each run lasts")
 	f.Float64Var(&d.Rate, "rate", 240, "requests a second, of all instances")
 	f.StringVar(&d.Body, "body", "roomy", "the workers: roomy, or small (few requests at a time, scarce connections)")
+	f.BoolVar(&d.Keep, "keep", false, "schedulers keep their list and what they learned over a restart")
 	f.Float64Var(&d.Skew, "skew", 0.1, "how uneven the schedulers' parts of the load are: scheduler i has one in 1 + skew x i")
 	f.Uint64Var(&d.Seed, "seed", 1, "of load and faults")
 	f.BoolVar(&virtual, "virtual", false, "the cores that ask and the Routers alone, in virtual time")
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -343,6 +343,12 @@
 // Blind says for how long the list may be old, from now; 0 that it is not.
 func (d *Dispatcher) Blind(lasts time.Duration) { d.tell(calicohill.ListOld{For: lasts}) }
 
+// Memory is what the Router has learned.
+func (d *Dispatcher) Memory() calicohill.Memory { return d.router.Memory() }
+
+// Recall has the Router take up what an earlier process learned. It must follow the first list.
+func (d *Dispatcher) Recall(m calicohill.Memory) { d.tell(calicohill.Recalled{Memory: m}) }
+
 // ---- the Router ----
 
 // tell keeps an event for the Step that ends this pass of the loop.
--- a/internal/lab/coldstart.go
+++ b/internal/lab/coldstart.go
@@ -51,6 +51,7 @@
 	Scenario  Scenario
 	Seconds   float64
 	Body      string  // of the workers, by name
+	Keep      bool    // schedulers keep their list and what they learned over a restart
 	Skew      float64 // of the load; see Load
 	Rate      float64 // requests a second, of all
 	Seed      uint64
@@ -116,7 +117,7 @@
 		return c, err
 	}
 	f := &Fleet{Program: d.Program, Env: d.Env, Dir: dir, Of: d.Of, Linked: slices.ContainsFunc(d.Scenario, func(s Step) bool { return s.Verb == "link" })}
-	f.Body = d.Body
+	f.Body, f.Keep = d.Body, d.Keep
 	defer f.end()
 	if err := f.Prepare(d.Instances, d.Workers); err != nil {
 		return c, err
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -46,6 +46,7 @@
 	Workers   []*Worker
 	Authority *fleetkey.Authority
 	Sharing   bool
+	Keep      bool // schedulers keep their list and what they learned over a restart
 
 	List  *ListService
 	Known string // which events schedulers are configured with: full (as ""), old (the first alone) or empty
@@ -309,6 +310,9 @@
 // Operator is the operator's file of an instance, with more lines of the section gossip.
 func (in *Instance) Operator(more string) string {
 	text := "log\n  format json\n"
+	if in.fleet.Keep {
+		text += "state\n  snapshot " + in.own + ".list\n  fleet lab\n"
+	}
 	if !in.fleet.Sharing {
 		return text
 	}
--- a/internal/operator/table.go
+++ b/internal/operator/table.go
@@ -85,7 +85,7 @@
 		Help: "Where SIGUSR1 has the counts of all rules written, as a JSON object. They are logged too."},
 
 	{Section: "state", Name: "snapshot", Args: []Arg{{Name: "FILE", Type: Path}}, Required: true, Example: "/var/lib/calicohill/n1.list",
-		Help: "Where the list of workers is kept. A start takes it up if it is newer than the one that the platform's file\nholds. Only where the list service's numbers outlast a restart of a scheduler."},
+		Help: "Where the list of workers, and what was learned, is kept. A start takes the list up if it is newer than the one\nthat the platform's file holds. Only where the list service's numbers outlast a restart of a scheduler."},
 	{Section: "state", Name: "fleet", Args: []Arg{{Name: "NAME", Type: Word}}, Required: true, Example: "gt-registros",
 		Help: "The fleet that the list is of. A list of another one is set aside."},
 	{Section: "state", Name: "max-age", Args: []Arg{{Name: "TIME", Type: Duration, Least: 1, Most: 30 * 86400}}, Default: "1h",
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -1,5 +1,5 @@
-// Package snapshot decides on what a scheduler keeps of the list of workers over a restart, for installations with a
-// lasting disk: what a record must be to count, and when one is written. No clock, no I/O.
+// Package snapshot decides on what a scheduler keeps of the list of workers, and of what it learned, over a restart, for
+// installations with a lasting disk: what a record must be to count, and when one is written. No clock, no I/O.
 package snapshot
 
 import (
@@ -10,19 +10,23 @@
 	"hash/crc32"
 	"time"
 
+	"calicohill"
+
 	"github.com/fxamacker/cbor/v2"
 )
 
 // MaxSize is the longest record that counts, in bytes: as long as the longest list that is taken from the list
-// service, and its frame.
-const MaxSize = 4<<20 + 4096
+// service, what is remembered with it, and its frame.
+const MaxSize = 6<<20 + 4096
 
-// Record is the list as it was.
+// Record is the list as it was, and what was learned.
 type Record struct {
 	Fleet string        `cbor:"1,keyasint"`
 	No    int           `cbor:"2,keyasint"` // of the last event in it
 	At    time.Duration `cbor:"3,keyasint"` // Unix time of its making
 	Feed  []byte        `cbor:"4,keyasint"` // the whole list, in the form of an answer of the list service
+
+	Memory calicohill.Memory `cbor:"5,keyasint"` // empty in records of earlier builds
 }
 
 // The ways in which a record does not count.
@@ -93,6 +97,9 @@
 	settle = 100 * time.Millisecond
 	// every is the least time between two records.
 	every = time.Second
+	// refresh is how old a record becomes at the most: more is learned all the time, and a copy that stood counts
+	// for some ten seconds.
+	refresh = 5 * time.Second
 	// againMin and againMax are the pauses after a record that could not be written.
 	againMin, againMax = 2 * time.Second, time.Minute
 )
@@ -115,7 +122,8 @@
 // Tell has it said that writes fail from now on, or, with nil, that they do not any more.
 type Tell struct{ Err error }
 
-// Keeper decides when records are written: the last change always is, one at a time, and never often.
+// Keeper decides when records are written: the last change always is, soon, and what was learned from time to time, one
+// record at a time, and never often.
 type Keeper struct {
 	due     time.Duration // when the next is written; 0 if none is
 	not     time.Duration // before this none is
@@ -128,23 +136,27 @@
 	for _, e := range events {
 		switch e := e.(type) {
 		case Changed:
-			if k.due == 0 {
-				k.due = max(now+settle, k.not)
+			if soon := max(now+settle, k.not); k.due == 0 || k.due > soon {
+				k.due = soon
 			}
 		case Written:
 			k.writing = false
-			switch {
-			case e.Err != nil:
+			if e.Err != nil {
 				if k.pause == 0 {
 					out = append(out, Tell(e))
 				}
 				k.pause = min(max(2*k.pause, againMin), againMax)
 				k.not = now + k.pause
 				k.due = k.not
-			case k.pause > 0:
+				continue
+			}
+			if k.pause > 0 {
 				k.pause = 0
 				out = append(out, Tell{})
 			}
+			if k.due == 0 {
+				k.due = now + refresh
+			}
 		}
 	}
 	if k.due > 0 && k.due <= now && !k.writing {
--- a/internal/snapshotfile/file.go
+++ b/internal/snapshotfile/file.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"time"
 
+	"calicohill"
 	"calicohill/internal/deadline"
 	"calicohill/internal/snapshot"
 
@@ -23,19 +24,21 @@
 	Post(func())
 }
 
-// File is where a scheduler keeps its list.
+// File is where a scheduler keeps its list and what it learned.
 type File struct {
 	path, fleet string
 	loop        Loop
 	log         logrus.FieldLogger
 	list        func() (no int, feed func() ([]byte, error)) // feed is called off the loop
+	memory      func() calicohill.Memory
 	keeper      snapshot.Keeper
 	wake        deadline.Entry
 }
 
-// New returns a File that keeps what list gives, which is called on the loop.
-func New(l Loop, path, fleet string, list func() (int, func() ([]byte, error)), log logrus.FieldLogger) *File {
-	f := &File{path: path, fleet: fleet, loop: l, list: list, log: log}
+// New returns a File that keeps what list and memory give, which are called on the loop.
+func New(l Loop, path, fleet string, list func() (int, func() ([]byte, error)), memory func() calicohill.Memory,
+	log logrus.FieldLogger) *File {
+	f := &File{path: path, fleet: fleet, loop: l, list: list, memory: memory, log: log}
 	f.wake.Fire = func() { f.step() }
 	return f
 }
@@ -49,8 +52,9 @@
 		switch a := a.(type) {
 		case snapshot.Write:
 			no, feed := f.list()
+			r := snapshot.Record{Fleet: f.fleet, No: no, At: now, Memory: f.memory()}
 			go func() {
-				err := f.write(snapshot.Record{Fleet: f.fleet, No: no, At: now}, feed)
+				err := f.write(r, feed)
 				f.loop.Post(func() { f.step(snapshot.Written{Err: err}) })
 			}()
 		case snapshot.Tell:
--- /dev/null
+++ b/memory_test.go
@@ -0,0 +1,111 @@
+package calicohill
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// learned is a bed whose Router has served calls of some functions.
+func learned(t *testing.T, workers ...Worker) *bed {
+	b := newBed(t, settings(many), workers...)
+	b.warmUp(200, 10*ms)
+	return b
+}
+
+// After a restart calls go where copies stood, and what warm workers answer is known from the first call on.
+func TestRecall(t *testing.T) {
+	b := learned(t, fleet(6)...)
+	m := b.r.Memory()
+	next := newBed(t, settings(many), fleet(6)...)
+	next.now = b.now + time.Second
+	next.step(0, Recalled{m})
+	if got, want := next.r.perWeight, b.r.perWeight; got != want || want == 0 {
+		t.Errorf("a warm worker answers %v a second, as recalled; it was %v", got, want)
+	}
+	for i := range 7 {
+		f := next.r.funcs[fmt.Sprint("f", i)]
+		s := next.send(fmt.Sprint("r", i), f.name)
+		if p := f.pair(next.r.workers[s.Worker]); !next.r.isWarm(p) {
+			t.Errorf("%s went to %s, where no copy stood", f.name, s.Worker)
+		}
+	}
+}
+
+// What no longer holds is passed over: copies of workers that started anew or are gone, or that rested for too long, and
+// all of it where something was learned already or the memory is of a time to come.
+func TestRecallOfNoUse(t *testing.T) {
+	b := learned(t, fleet(2)...)
+	m := b.r.Memory()
+	for _, c := range []struct {
+		name    string
+		after   time.Duration
+		workers []Worker
+		calls   int
+		knows   bool
+	}{
+		{"as it was", time.Second, fleet(2), 0, true},
+		{"started anew", time.Second, []Worker{{ID: "w0", State: Ready, Weight: 1, Started: b.now}, {ID: "w1", State: Ready, Weight: 1, Started: b.now}}, 0, false},
+		{"other workers", time.Second, []Worker{ready("x", 0)}, 0, false},
+		{"long ago", time.Minute, fleet(2), 0, false},
+		{"learned already", time.Second, fleet(2), 1, false},
+		{"of a time to come", -time.Minute, fleet(2), 0, false},
+	} {
+		next := newBed(t, settings(many), c.workers...)
+		next.now = b.now + c.after
+		for i := range c.calls {
+			next.send(fmt.Sprint("s", i), "other")
+		}
+		next.step(0, Recalled{m})
+		knows := false
+		for _, f := range next.r.funcs {
+			for _, p := range f.pairs {
+				knows = knows || next.r.isWarm(p)
+			}
+		}
+		if knows != c.knows {
+			t.Errorf("%s: copies are believed to stand: %v, want %v", c.name, knows, c.knows)
+		}
+	}
+}
+
+// Whatever stands in a memory, a Router that took it up goes on deciding, and what it remembers then is sound.
+func TestRecallAnything(t *testing.T) {
+	figure := rapid.OneOf(rapid.Float64(), rapid.SampledFrom([]float64{0, -1, math.NaN(), math.Inf(1)}))
+	number, at := rapid.IntRange(-2, 5), rapid.Map(rapid.Int64(), func(x int64) time.Duration { return time.Duration(x) })
+	rapid.Check(t, func(rt *rapid.T) {
+		m := Memory{At: rapid.SampledFrom([]time.Duration{time.Hour, 0, 2 * time.Hour}).Draw(rt, "at"), Calls: figure.Draw(rt, "calls"),
+			PerWeight: figure.Draw(rt, "rate"), Press: figure.Draw(rt, "press")}
+		for range rapid.IntRange(0, 3).Draw(rt, "workers") {
+			m.Workers = append(m.Workers, WorkerMemory{fmt.Sprint("w", number.Draw(rt, "id")), 0, figure.Draw(rt, "press"), figure.Draw(rt, "pace")})
+		}
+		for range rapid.IntRange(0, 3).Draw(rt, "functions") {
+			k := FunctionMemory{Name: fmt.Sprint("f", number.Draw(rt, "name")), Class: number.Draw(rt, "class"), Lanes: number.Draw(rt, "lanes"),
+				Calls: figure.Draw(rt, "calls"), Mean: figure.Draw(rt, "mean"), Told: at.Draw(rt, "told")}
+			for range rapid.IntRange(0, 2).Draw(rt, "copies") {
+				k.Copies = append(k.Copies, CopyMemory{number.Draw(rt, "place"), at.Draw(rt, "found"), number.Draw(rt, "copies")})
+			}
+			m.Functions = append(m.Functions, k)
+		}
+		b := newBed(t, settings(many), fleet(4)...)
+		b.step(ms, Recalled{m})
+		answered := 0
+		for i := range 20 {
+			for _, s := range only[Send](b.step(100*ms, call(fmt.Sprint("r", i), fmt.Sprint("f", i%3)), TimerFired{beatToken})) {
+				b.step(ms, end(s, 0, Served))
+				answered++
+			}
+		}
+		if answered == 0 {
+			rt.Fatal("nothing is sent any more")
+		}
+		again := b.r.Memory()
+		if !sound(again.Calls, again.PerWeight, again.Press) || !reflect.DeepEqual(again, b.r.Memory()) {
+			rt.Fatalf("it remembers %+v", again)
+		}
+	})
+}
--- a/router.go
+++ b/router.go
@@ -9,9 +9,6 @@
 import (
 	"math/rand/v2"
 	"time"
-
-	"calicohill/internal/bucket"
-	"calicohill/internal/decay"
 )
 
 const (
@@ -62,38 +59,6 @@
 	coldMargin = 0.9 // share of a cold worker's budget that is used
 )
 
-// A Router decides for one scheduler. It is not safe for concurrent use.
-type Router struct {
-	set           Settings
-	rng           *rand.Rand
-	now           time.Duration
-	started       bool
-	acts          []Action
-	requests      map[string]*request // until every attempt has ended
-	held          []*request          // least deadline first
-	workers       map[string]*worker
-	list          []*worker // by id
-	version       int       // of the list, for the functions' hash orders
-	funcs         map[string]*function
-	leastAim, lat float64        // least aim of all classes and mean latency of warm calls, in seconds
-	press         float64        // running mean of what presses the workers
-	well          int            // usable workers that do not answer errors
-	alone         int            // calls overdue alone that may be sent elsewhere too
-	lanes, busy   float64        // lanes that are usable; share of them that is taken
-	allCalls      float64        // of all functions, decaying
-	outWork       float64        // summed service times of attempts that are out, in seconds
-	theirs        float64        // part of what happens at the workers that other schedulers cause
-	loads         bucket.Ration  // of orders to load
-	shares        *bucket.Shares // of tenants
-
-	// answers of warm workers since servedAt, of all if all are cold; and in a second, for a worker of size 1
-	served                       float64
-	allCold                      bool // there is no warm worker
-	perWeight                    decay.Mean
-	servedAt, askAgain, lastCall time.Duration
-	blindTill                    time.Duration // nothing is sent until then: the list may be old
-}
-
 // New returns a Router for these settings. All its randomness comes from the seed.
 func New(s Settings, seed uint64) (*Router, error) {
 	least, err := s.check()
@@ -140,6 +105,8 @@
 			r.heed(e)
 		case ListOld:
 			r.blindTill = now + e.For
+		case Recalled:
+			r.recall(e.Memory)
 		case PoolsChanged:
 			r.version++
 		case TimerFired:
--- a/state.go
+++ b/state.go
@@ -1,13 +1,47 @@
 package calicohill
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"calicohill/internal/bucket"
 	"calicohill/internal/decay"
 )
 
 // What a Router holds of workers, functions and requests. Nothing is decided here.
 
+// A Router decides for one scheduler. It is not safe for concurrent use.
+type Router struct {
+	set           Settings
+	rng           *rand.Rand
+	now           time.Duration
+	started       bool
+	acts          []Action
+	requests      map[string]*request // until every attempt has ended
+	held          []*request          // least deadline first
+	workers       map[string]*worker
+	list          []*worker // by id
+	version       int       // of the list, for the functions' hash orders
+	funcs         map[string]*function
+	leastAim, lat float64        // least aim of all classes and mean latency of warm calls, in seconds
+	press         float64        // running mean of what presses the workers
+	well          int            // usable workers that do not answer errors
+	alone         int            // calls overdue alone that may be sent elsewhere too
+	lanes, busy   float64        // lanes that are usable; share of them that is taken
+	allCalls      float64        // of all functions, decaying
+	outWork       float64        // summed service times of attempts that are out, in seconds
+	theirs        float64        // part of what happens at the workers that other schedulers cause
+	loads         bucket.Ration  // of orders to load
+	shares        *bucket.Shares // of tenants
+
+	// answers of warm workers since servedAt, of all if all are cold; and in a second, for a worker of size 1
+	served                 float64
+	allCold                      bool // there is no warm worker
+	perWeight                    decay.Mean
+	servedAt, askAgain, lastCall time.Duration
+	blindTill                    time.Duration // nothing is sent until then: the list may be old
+}
+
 type worker struct {
 	Worker
 	loads             int // attempts of ours that wait for a load: they hold no lane
