Put ways among schedulers into the scenarios: lossy, far, cut in one direction or both

Change: the verb talk; a fleet whose script has it shares suspicions over a hub, each member advertising its address there. The scenario split of lab coldstart, and the case 'fallen in two' of TestColdStarts: 24 processes, a third cut off from the others while workers fall silent and others drain.

--- a/cmd/calicohill/coldstart_test.go
+++ b/cmd/calicohill/coldstart_test.go
@@ -38,6 +38,8 @@
 		{"half stopped", 13, 0, "0s known full\n0s start 1\n3s stop 0.5\n4s drain 0.1\n7s cont 0.5"},
 		{"slow list, slow workers", 14, 0, "0s known full\n0s start 1\n3s workers stalls 0.3\n3s list crowded 0.3\n4s drain 0.1\n9s list well\n9s workers sound 0.3"},
 		{"ended at their start", 9, 0, "0s known full\n0s list silent\n0s start 1\n1s term 0.5\n3s list well\n4s start 1"},
+		// They share what they find, and a third of them falls apart from the others while workers fall silent.
+		{"fallen in two", 13, 0, "0s known full\n0s start 1\n3s talk lossy 0.3\n4s talk cut 0.3\n4s workers mute 0.2\n5s drain 0.1\n8s talk whole 1\n9s workers sound 0.2"},
 		// Workers of little room, that fall when they are sent too much while they are cold; nothing was sent to them.
 		{"all cold at once", 12, 0, "0s boot 1\n0s known full\n0s start 1"},
 	} {
--- a/internal/lab/coldstart.go
+++ b/internal/lab/coldstart.go
@@ -35,6 +35,7 @@
 	"zone":    "0s known full\n0s start 1\n6s link cut 0.3 1\n9s link whole 0.3 1",
 	"reborn":  "0s known full\n0s start 1\n6s boot 0.4\n6s kill 0.4\n7s start 1",
 	"jammed":  "0s known full\n0s start 1\n6s boot 0.2\n6s jam 4s\n6s kill 0.7\n7s start 1",
+	"split":   "0s known full\n0s start 1\n4s talk lossy 0.3\n6s talk cut 0.3\n6s workers mute 0.2\n12s talk whole 1\n14s workers sound 0.2",
 	"stopped": "0s known full\n0s start 1\n6s stop 0.5\n11s cont 0.5",
 	"slow":    "0s known full\n0s start 1\n5s workers stalls 0.3\n5s list crowded 0.2\n6s drain 0.1\n12s workers sound 0.3",
 }
@@ -116,7 +117,10 @@
 	if err != nil {
 		return c, err
 	}
-	f := &Fleet{Program: d.Program, Env: d.Env, Dir: dir, Of: d.Of, Linked: slices.ContainsFunc(d.Scenario, func(s Step) bool { return s.Verb == "link" })}
+	has := func(verb string) bool {
+		return slices.ContainsFunc(d.Scenario, func(s Step) bool { return s.Verb == verb })
+	}
+	f := &Fleet{Program: d.Program, Env: d.Env, Dir: dir, Of: d.Of, Linked: has("link"), Sharing: has("talk"), Hubbed: has("talk")}
 	f.Body, f.Keep = d.Body, d.Keep
 	defer f.end()
 	if err := f.Prepare(d.Instances, d.Workers); err != nil {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -46,6 +46,7 @@
 	Workers   []*Worker
 	Authority *fleetkey.Authority
 	Sharing   bool
+	Hubbed    bool // schedulers reach one another over ways that scenarios change
 	Keep      bool // schedulers keep their list and what they learned over a restart
 
 	List  *ListService
@@ -55,8 +56,11 @@
 	Store *Store
 	Of    int // how many schedulers there are as they are told; 0 for those that there are
 
-	host   string // of all its schedulers
-	Linked bool   // each scheduler has a link of its own to each worker
+	host   string          // of all its schedulers
+	Linked bool            // each scheduler has a link of its own to each worker
+	hub    *Hub            // nil where schedulers reach one another without one
+	talk   Way             // between those of apart and the others
+	apart  map[string]bool // gossip addresses
 
 	mu      sync.Mutex
 	links   map[linked]*Link
@@ -174,6 +178,16 @@
 		}
 		f.Instances = append(f.Instances, in)
 	}
+	if f.Hubbed {
+		var members []string
+		for _, in := range f.Instances {
+			members = append(members, in.Gossip)
+		}
+		if f.hub, err = NewHub(members, f.between); err != nil {
+			f.Close()
+			return err
+		}
+	}
 	for _, in := range f.Instances {
 		if err := in.configure(); err != nil {
 			f.Close()
@@ -183,6 +197,20 @@
 	return nil
 }
 
+// between is the way from one scheduler to another, by their gossip addresses.
+func (f *Fleet) between(from, to string) Way {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.apart[from] == f.apart[to] {
+		return Way{}
+	}
+	way := f.talk
+	if f.apart[to] { // cut the other way round
+		way.There, way.Back = way.Back, way.There
+	}
+	return way
+}
+
 // worker has a worker run, a cold one if born is not zero.
 func (f *Fleet) worker(id string, born time.Time) (*Worker, error) {
 	body, ok := Bodies[cmp.Or(f.Body, "roomy")]
@@ -317,8 +345,13 @@
 		return text
 	}
 	text += fmt.Sprintf("gossip\n  listen %s\n  fleet lab\n  key %s\n  authority fleet.crt\n", in.Gossip, in.Key)
+	reached := func(gossip string) string { return gossip }
+	if hub := in.fleet.hub; hub != nil {
+		reached = hub.Addr
+		text += "  advertise " + hub.Addr(in.Gossip) + "\n"
+	}
 	for _, o := range in.fleet.Instances[:min(3, len(in.fleet.Instances))] {
-		text += "  seed " + o.Gossip + "\n"
+		text += "  seed " + reached(o.Gossip) + "\n"
 	}
 	return text + more
 }
@@ -448,6 +481,9 @@
 	for _, w := range f.Workers {
 		w.Close()
 	}
+	if f.hub != nil {
+		f.hub.Close()
+	}
 	if f.List != nil {
 		f.List.Close()
 	}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -26,6 +26,9 @@
 //	                               (4,000 bytes a second), far (100 to 200 ms each way) or reset
 //	4s boot SHARE                  has workers start anew at their address, empty and cold
 //	4s jam PAUSE                   the store that all workers load from serves nothing for so long
+//	4s talk WAY SHARE              of schedulers, between them and the others, who share what they find: whole, cut,
+//	                               cut-there, cut-back, far or lossy (one datagram in three lost, one in ten twice,
+//	                               out of order)
 //	4s workers FAULT SHARE         sound, mute, stalls, fails or refuses
 type Scenario []Step
 
@@ -184,6 +187,18 @@
 		return err
 	case "link":
 		return f.link(s, schedulers, workers)
+	case "talk":
+		n, err := s.share(1, len(f.Instances))
+		way, ok := ways[s.Args[0]]
+		if err != nil || !ok || f.hub == nil {
+			return errors.Join(err, fmt.Errorf("%w: %v", errStep, s))
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.talk, f.apart = way, map[string]bool{}
+		for _, k := range schedulers[:n] {
+			f.apart[f.Instances[k].Gossip] = true
+		}
 	case "known":
 		if len(s.Args) != 1 {
 			return fmt.Errorf("%w: %v", errStep, s)
@@ -202,7 +217,7 @@
 
 // ways is what links can be made to do.
 var ways = map[string]Way{"whole": {}, "cut": {There: true, Back: true}, "cut-there": {There: true}, "cut-back": {Back: true},
-	"hang": {Hang: true}, "slow": {Rate: 4000}, "far": {Delay: 100 * time.Millisecond, Spread: 100 * time.Millisecond}}
+	"lossy": {Loss: 0.33, Double: 0.1, Spread: 50 * time.Millisecond}, "hang": {Hang: true}, "slow": {Rate: 4000}, "far": {Delay: 100 * time.Millisecond, Spread: 100 * time.Millisecond}}
 
 // link changes the links between some schedulers and some workers.
 func (f *Fleet) link(s Step, schedulers, workers []int) error {
