Let cold workers have what they bear where hundreds of schedulers share them

Cause: coldRoom (rules.go) draws a part of 0.04 calls for each worker and window, and lets it lapse: about 4 in 100 of what a worker bears were sent, since a call for just that worker has to come in that window.

Change: where its part is under one call, a scheduler lets the first call in a window through with the chance that leaves a worker its budget though it is called three times as much as the mean, as long as its own calls for each usable worker are as usual. Of workers that are as busy the one that answered here lately is taken (choice.go).

--- a/choice.go
+++ b/choice.go
@@ -92,7 +92,12 @@
 // What presses it counts in quarters: less is noise, and all would go by it.
 func (r *Router) load(w *worker) float64 {
 	press := max(math.Round(4*r.pressOf(w)), 1)
-	return (1 + float64(len(w.outs)) + w.others) * press / (w.Weight * r.ripeness(w))
+	calls := 1 + float64(len(w.outs)) + w.others
+	// Where many share a worker, to be met by one more costs it, and shows in none of its reports.
+	if w.met == 0 || r.now-w.met > r.set.KeepAlive {
+		calls += unmetCalls * math.Pow(r.theirs, 4)
+	}
+	return calls * press / (w.Weight * r.ripeness(w))
 }
 
 func (r *Router) paceOf(w *worker) float64 {
--- a/health.go
+++ b/health.go
@@ -74,20 +74,25 @@
 		r.askAgain = 0
 		r.act(Subscribe{true})
 	}
-	size, cold := 0.0, 0.0
+	warm, ripe := 0.0, 0.0
+	r.size = 0
 	for _, w := range r.list {
-		if r.watch(w); w.State == Ready && r.isCold(w) {
-			cold += w.Weight * r.ripeness(w)
-		} else if w.State == Ready {
-			size += w.Weight
+		if r.watch(w); w.State != Ready {
+			continue
+		}
+		if ripe += w.Weight * r.ripeness(w); !r.isCold(w) {
+			warm += w.Weight
+		}
+		if !w.suspect {
+			r.size += w.Weight
 		}
 	}
-	if r.allCold = size == 0; r.allCold {
-		size = cold
+	if r.allCold = warm == 0; r.allCold {
+		warm = ripe
 	}
 	if gap := (r.now - r.servedAt).Seconds(); gap >= 1 {
-		if size > 0 {
-			rate, part := r.served/gap/size, meanWeight
+		if warm > 0 {
+			rate, part := r.served/gap/warm, meanWeight
 			if r.allCold && rate > float64(r.perWeight) {
 				part = 1 // what cold workers answered they can do, whatever they did before
 			}
--- a/learn.go
+++ b/learn.go
@@ -110,7 +110,7 @@
 }
 
 func (r *Router) answered(w *worker) {
-	if w.lastAnswer, w.breaks = r.now, 0; w.suspect {
+	if w.lastAnswer, w.met, w.breaks = r.now, r.now, 0; w.suspect {
 		w.suspect, w.tries, w.limit = false, 0, max(limitMin, min(w.limit, 2))
 	}
 	t := Well
--- a/router.go
+++ b/router.go
@@ -56,7 +56,10 @@
 	refuseFrom = 0.5 // calls for workers pressed by this over 1 begin to be refused; by twice that
 	refuseMost = 0.8 // no more than this share is, or nothing would show that the worker is well again
 
+	unmetCalls = 0.25 // calls that a worker which answered nothing here lately counts as busier by
+
 	coldMargin = 0.9 // share of a cold worker's budget that is used
+	coldEven   = 3.0 // times that a cold worker may be called as much as the mean of all
 )
 
 // New returns a Router for these settings. All its randomness comes from the seed.
--- a/router_test.go
+++ b/router_test.go
@@ -1138,3 +1138,22 @@
 		}
 	}
 }
+
+// Of two workers with nothing out, where many schedulers share them, the one that answered here lately is taken.
+func TestGoesWhereItWasMet(t *testing.T) {
+	b := newBed(t, settings(many), fleet(2)...)
+	s := b.send("a", "f")
+	b.step(50*ms, end(s, 0, Served))
+	met := b.r.workers[s.Worker]
+	other := b.r.list[0]
+	if other == met {
+		other = b.r.list[1]
+	}
+	if !b.r.busier(other, met) || b.r.busier(met, other) {
+		t.Error("a worker that was never met is taken before one that was")
+	}
+	b.wait(b.r.set.KeepAlive + time.Second)
+	if b.r.load(met) != b.r.load(other) {
+		t.Error("a worker counts as met for ever")
+	}
+}
--- a/rules.go
+++ b/rules.go
@@ -66,7 +66,11 @@
 			rate, span = max(rate, 1/r.leastAim/float64(r.set.Schedulers)), min(span, time.Second)
 		}
 		budget := coldMargin * r.set.TipMultiple * span.Seconds() * r.ripeness(w) * w.Weight * rate
-		w.quota = int(budget + r.rng.Float64())
+		// Most such draws are lost on workers that nothing is for just then. While calls come as usual one is
+		// let through by chance, so that a worker that is called coldEven times as much as others bears it.
+		usual := r.allCalls * r.fade(r.lastCall) / (widthTau * r.set.KeepAlive.Seconds() * max(r.size, 1))
+		chance := budget / (span.Seconds() * coldEven * max(rate, usual) * w.Weight)
+		w.quota = int(max(budget, min(chance, 1)) + r.rng.Float64())
 		w.quotaTill = r.now + span
 	}
 	return w.quota > 0
--- a/state.go
+++ b/state.go
@@ -34,8 +34,9 @@
 	loads         bucket.Ration  // of orders to load
 	shares        *bucket.Shares // of tenants
 
-	// answers of warm workers since servedAt, of all if all are cold; and in a second, for a worker of size 1
-	served                 float64
+	// weight of all workers that are ready and not suspect; answers of warm ones since servedAt, of all if all are cold;
+	// and in a second, for a worker of size 1
+	size, served                 float64
 	allCold                      bool // there is no warm worker
 	perWeight                    decay.Mean
 	servedAt, askAgain, lastCall time.Duration
@@ -58,6 +59,7 @@
 	breaks            int         // times that connections broke with no answer since
 	brokeAt, seenAt   time.Duration
 	lastAnswer, tryAt time.Duration
+	met               time.Duration // when it answered last; 0 if it never did
 	full, noLoads     time.Duration // it gets nothing new, or no new load, until then
 	quota             int           // calls that it may still be sent while cold, until quotaTill
 	quotaTill, goneAt time.Duration
