Give each scheduler of a laboratory fleet a gossip port of its own

Seen: 1 of 18 plays of TestSharedSuspicions under load ended at its start with `listen udp ...: bind: address already in use`. Fleet.free let a TCP port that another of the fleet had go by, and took any UDP port: the system names one again that was let go, within a thousand draws in each of 3 plays (TestFreePorts, which fails without the change; 20 times with it). Now both are compared with all that the fleet has.

--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -229,25 +229,31 @@
 	if f.host == "" {
 		f.host = fmt.Sprintf("127.%d.%d.1:0", 1+os.Getpid()%250, 1+fleets.Add(1)%250)
 	}
+	for {
+		addr, err := unused(network, f.host)
+		// The system may name a port again that was let go a moment ago.
+		if err != nil || !slices.ContainsFunc(f.Instances, func(in *Instance) bool { return in.Addr == addr || in.Gossip == addr }) {
+			return addr, err
+		}
+	}
+}
+
+// unused is an address of a host that nobody listens on.
+func unused(network, host string) (string, error) {
 	if network == "udp" {
-		c, err := net.ListenPacket("udp", f.host)
+		c, err := net.ListenPacket("udp", host)
 		if err != nil {
 			return "", err
 		}
 		defer c.Close()
 		return c.LocalAddr().String(), nil
 	}
-	for {
-		l, err := net.Listen("tcp", f.host)
-		if err != nil {
-			return "", err
-		}
-		l.Close()
-		addr := l.Addr().String()
-		if !slices.ContainsFunc(f.Instances, func(in *Instance) bool { return in.Addr == addr }) {
-			return addr, nil
-		}
+	l, err := net.Listen("tcp", host)
+	if err != nil {
+		return "", err
 	}
+	defer l.Close()
+	return l.Addr().String(), nil
 }
 
 // Tell adds an event to the list.
