Refuse no calls for workers not met because those that were met are pressed

Counted: workers' calls (the median one 2.6 a second of 25), refusals by function and by reason. Half of the calls for workers that had not answered this scheduler within a keep-alive were open to refusal for press.

At fault: pressOf (choice.go) and feel (learn.go) took a worker that was not met for as pressed as the mean answer, r.press, without bound; with few workers met, those that much called functions press, admit refused up to 0.8 of all else, and nothing was learned any more. Change: that mean counts up to leaveFrom.

--- a/choice.go
+++ b/choice.go
@@ -162,8 +162,11 @@
 	return (r.pressOf(p.w)-leaveFrom)/(leaveAll-leaveFrom)*math.Pow(r.theirs, 4) > p.stays
 }
 
-// pressOf is how pressed a worker is believed to be: as last seen, fading to what others are.
-func (r *Router) pressOf(w *worker) float64 { return r.press + w.press.At(r.now, r.set.KeepAlive) }
+// pressOf is how pressed a worker is believed to be: as last seen, fading to what others are, yet to no more
+// than what it keeps its functions with. One that sees few workers, all pressed, would refuse the rest.
+func (r *Router) pressOf(w *worker) float64 {
+	return min(r.press, leaveFrom) + w.press.At(r.now, r.set.KeepAlive)
+}
 
 func (r *Router) fade(at time.Duration) float64 {
 	return math.Exp(-(r.now - at).Seconds() / (widthTau * r.set.KeepAlive.Seconds()))
--- a/learn.go
+++ b/learn.go
@@ -104,8 +104,8 @@
 	default:
 		x += idleTook
 	}
-	old := a.w.press.At(r.now, r.set.KeepAlive)
-	a.w.press.Set(r.now, old+workerWeight*(x-r.press-old))
+	usual, old := min(r.press, leaveFrom), a.w.press.At(r.now, r.set.KeepAlive)
+	a.w.press.Set(r.now, old+workerWeight*(x-usual-old))
 	r.press += fleetWeight * (x - r.press)
 }
 
