--- a/internal/lab/shoal.go
+++ b/internal/lab/shoal.go
@@ -1,10 +1,11 @@
 package lab
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
+	"sync"
 	"time"
 
 	"calicohill"
@@ -294,17 +295,25 @@
 // PlayWorkers plays starts of fleets in virtual time: workers that are warm, and that are cold, with schedulers that
 // know nothing, and with seven in ten of them killed at half time. Workers grow in number with the load.
 func PlayWorkers(schedulers, workers int, seed uint64) (map[string]VirtualCourse, error) {
+	days := map[string]VirtualDay{"warm": {}, "cold": {Cold: true}, "killed": {Killed: 0.7}, "cold, uneven": {Cold: true, Skew: 3},
+		"reborn": {Reborn: 0.6}}
 	all := map[string]VirtualCourse{}
-	for name, d := range map[string]VirtualDay{"warm": {}, "cold": {Cold: true}, "killed": {Killed: 0.7},
-		"cold, uneven": {Cold: true, Skew: 3},
-		"reborn":       {Reborn: 0.6}} {
+	var failed error
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for name, d := range days {
 		d.Schedulers, d.Workers, d.Body, d.Seconds, d.Seed = schedulers, workers, "small", 16, seed
 		d.Rate = 8 * float64(workers) // a third of what they can do
-		c, err := d.Play()
-		if err != nil {
-			return nil, fmt.Errorf("%s: %w", strings.ToLower(name), err)
-		}
-		all[name] = c
+		wg.Go(func() {
+			c, err := d.Play()
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed = errors.Join(failed, fmt.Errorf("%s: %w", name, err))
+			}
+			all[name] = c
+		})
 	}
-	return all, nil
+	wg.Wait()
+	return all, failed
 }
--- a/internal/lab/worker.go
+++ b/internal/lab/worker.go
@@ -98,6 +98,7 @@
 	From      string // what the body says of who sent it
 	Fault     Fault  // of the worker then
 	ID, Class string
+	Function  string
 	Load      bool // it began a load
 }
 
@@ -247,7 +248,7 @@
 	fault := w.fault
 	from, _, _ := strings.Cut(body, " ")
 	stands, known := w.loaded[function]
-	w.arrivals = append(w.arrivals, Arrival{time.Now(), from, fault, id, class, !known})
+	w.arrivals = append(w.arrivals, Arrival{time.Now(), from, fault, id, class, function, !known})
 	if !known {
 		stands = make(chan struct{})
 		w.loaded[function] = stands
