Count the workers that schedulers have to meet by the homes that all share

`homes_per_scheduler` replaces it: workers at home in a function that a scheduler was asked for. No scheduler meets more than its calls make it.

--- a/internal/lab/coldstart.go
+++ b/internal/lab/coldstart.go
@@ -79,7 +79,7 @@
 	AgentConnects int      `json:"agent_connects_peak_100ms"` // at the worker that saw the most
 	Handshakes    float64  `json:"handshakes_per_scheduler"`
 	Workers       float64  `json:"workers_per_scheduler"` // that it sent anything
-	Forced        float64  `json:"handshakes_forced"`     // of Handshakes, those with workers at which alone a function stood that it was asked for
+	Homes         float64  `json:"homes_per_scheduler"`   // workers at home in a function that it was asked for: what it has to meet
 	Loads         int      `json:"loads"`
 	Pushed        int      `json:"workers_pushed_over"`
 	Crowded       int      `json:"agent_connects_refused"` // over what the workers bear
@@ -232,27 +232,28 @@
 		starts += in.Count("scheduler started")
 	}
 	c.Handshakes = float64(shakes) / float64(max(starts, 1))
-	c.Forced = float64(forced(f.Workers)) / float64(max(starts, 1))
+	c.Homes = float64(met(f.Workers)) / float64(n)
 	c.Workers = float64(pairs) / float64(n)
 }
 
-// forced counts the pairs of a scheduler and a worker that no choice could have saved without a load: one sent the other
-// a function that went nowhere else all day.
-func forced(workers []*Worker) int {
-	at, pairs := map[string]map[*Worker]bool{}, map[linked]bool{}
+// met counts the pairs of a scheduler and a worker that follow from the homes that all schedulers share: one was asked
+// for a function which most of all calls of it went to the other for.
+func met(workers []*Worker) int {
+	at, most, pairs := map[string]map[string]int{}, map[string]string{}, map[linked]bool{}
 	for _, w := range workers {
 		for _, a := range w.Arrivals() {
 			if at[a.Function] == nil {
-				at[a.Function] = map[*Worker]bool{}
+				at[a.Function] = map[string]int{}
+			}
+			at[a.Function][w.ID]++
+			if most[a.Function] == "" || at[a.Function][w.ID] > at[a.Function][most[a.Function]] {
+				most[a.Function] = w.ID
 			}
-			at[a.Function][w] = true
 		}
 	}
 	for _, w := range workers {
 		for _, a := range w.Arrivals() {
-			if len(at[a.Function]) == 1 {
-				pairs[linked{a.From, w.ID}] = true
-			}
+			pairs[linked{a.From, most[a.Function]}] = true
 		}
 	}
 	return len(pairs)
