Add the books of budgets that a fleet shares, and a checker of every short course

Need: budgets that hundreds of schedulers may use up together, never above a whole, in any partition, with lost, doubled and late messages, stops and new starts. Nothing of the kind was there.

Change: internal/allowance, pure: fixed parts by the size that settings tell, lent between members for a time; a loan runs from when the want was said, by the borrower's clock, and counts as gone for longer than that by the lender's, whatever rates the two have within what was told. A new start holds back the half that the one before may have lent. Nothing uses it yet: the program is as it was.

--- /dev/null
+++ b/internal/allowance/depth_race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package allowance
+
+const depth = 4 // the race detector makes the checker ten times slower, and nothing here is concurrent
--- /dev/null
+++ b/internal/allowance/seeded_on.go
@@ -0,0 +1,5 @@
+//go:build faults
+
+package allowance
+
+var seeded = none
