Give each stand-in list service a host of its own, so that its doors open again

Seen: 8 of 20 plays of TestColdStarts failed, all in 'refused', with `list service: listen tcp 127.0.1.1:...: bind: address already in use`, once other fleets ran on the machine. A list service that refuses closes its doors and opens them again at the same ports; links of all fleets, and the doors of others, listen on the same address and were given such a port meanwhile. Ruled out: sockets of clients (they have 127.0.0.1). Change: a host for each list service, as each fleet has one. TestRefusesAndComesBack takes the port where links are and fails without it; 20 times.

--- a/internal/lab/free_test.go
+++ b/internal/lab/free_test.go
@@ -1,6 +1,9 @@
 package lab
 
-import "testing"
+import (
+	"net"
+	"testing"
+)
 
 // Each scheduler of a fleet has ports of its own, also where the system names one again that was let go.
 func TestFreePorts(t *testing.T) {
@@ -18,3 +21,28 @@
 		f.Instances = append(f.Instances, &Instance{Gossip: addr})
 	}
 }
+
+// A list service that refused comes back where it was, whoever was given its port elsewhere meanwhile.
+func TestRefusesAndComesBack(t *testing.T) {
+	s := NewListService()
+	defer s.Close()
+	addr, err := s.Door("n0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Set(Refuse, 0); err != nil {
+		t.Fatal(err)
+	}
+	_, port, _ := net.SplitHostPort(addr)
+	host, _, _ := net.SplitHostPort(ends)
+	for _, h := range []string{host, "127.0.0.1"} {
+		l, err := net.Listen("tcp", net.JoinHostPort(h, port))
+		if err != nil {
+			t.Skip("the port is in use there")
+		}
+		defer l.Close()
+	}
+	if err := s.Set(Well, 0); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/lab/link.go
+++ b/internal/lab/link.go
@@ -54,9 +54,12 @@
 	return at
 }
 
+// ends is where links are reached: an address of loopback from which nothing connects.
+const ends = "127.0.1.1:0"
+
 // NewLink opens a link to an address.
 func NewLink(to string) (*Link, error) {
-	l, err := net.Listen("tcp", doors)
+	l, err := net.Listen("tcp", ends)
 	if err != nil {
 		return nil, fmt.Errorf("link: %w", err)
 	}
--- a/internal/lab/listservice.go
+++ b/internal/lab/listservice.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +27,7 @@
 	polls   []Poll
 	accepts []time.Time
 	closed  bool
+	host    string // with port 0
 
 	troubled time.Time // when its mood last changed, or its connections broke
 }
@@ -45,14 +48,14 @@
 	conns      map[net.Conn]bool
 }
 
-// doors is where doors are opened: an address of loopback from which nothing connects, so that a door that was closed
-// finds its port free when it opens again.
-const doors = "127.0.1.1:0"
+// services counts the list services of this process. Each has a host of its own, from which nothing connects and where
+// nobody else listens, so that a door that was closed finds its port free when it opens again.
+var services atomic.Uint32
 
 // NewListService starts a list service without events.
 func NewListService() *ListService {
 	s := &ListService{desk: Desk{Mood: Well}, began: time.Now().Add(-time.Hour), doors: map[string]*door{},
-		troubled: time.Now()}
+		troubled: time.Now(), host: fmt.Sprintf("127.%d.%d.2:0", 1+os.Getpid()%250, 1+services.Add(1)%250)}
 	s.timer = time.AfterFunc(time.Hour, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -68,7 +71,7 @@
 	if d := s.doors[name]; d != nil {
 		return d.addr, nil
 	}
-	d := &door{name: name, addr: doors, conns: map[net.Conn]bool{}}
+	d := &door{name: name, addr: s.host, conns: map[net.Conn]bool{}}
 	if err := s.open(d); err != nil {
 		return "", err
 	}
