Let fewer calls by chance to cold workers through where there are hundreds of workers

At fault: the chance that lets a first call through (coldRoom, rules.go) leaves a worker its budget though it is called three times as much as the mean, and it bears 19 times. The home of a function with a tenth of all calls is called a tenth of the workers' number times the mean: 20 times at 200. Change: the chance counts on 0.025 of the workers' number in place of three where that is more, from 121 workers on.

TestKnowsNothing, all cold, hundreds of workers, fails without it.

--- a/internal/lab/shoal_test.go
+++ b/internal/lab/shoal_test.go
@@ -19,6 +19,8 @@
 		{"all cold, uneven load", VirtualDay{Schedulers: 24, Workers: 10, Cold: true, Rate: 80, Skew: 3, Seconds: 14}, 9, 0.8},
 		// A budget of less than one call a window was hardly ever used.
 		{"all cold, many schedulers", VirtualDay{Schedulers: 120, Workers: 24, Cold: true, Rate: 130, Seconds: 14}, 4, 0.5},
+		// The home of the function that is called most is called 40 times as much as the mean worker.
+		{"all cold, hundreds of workers", VirtualDay{Schedulers: 300, Workers: 400, Cold: true, Rate: 3200, Seconds: 3}, 0, 0.3},
 		// Those that were met were pressed, and calls for all others were refused for it.
 		{"warm, few met", VirtualDay{Schedulers: 400, Workers: 80, Rate: 800, Seconds: 13}, 10, 0.86},
 		{"four in five start anew", VirtualDay{Schedulers: 120, Workers: 24, Reborn: 0.8, Rate: 200, Seconds: 18}, 9, 0.7},
--- a/router.go
+++ b/router.go
@@ -59,7 +59,10 @@
 	unmetCalls = 0.25 // calls that a worker which answered nothing here lately counts as busier by
 
 	coldMargin = 0.9 // share of a cold worker's budget that is used
-	coldEven   = 3.0 // times that a cold worker may be called as much as the mean of all
+	coldEven   = 3.0 // times that a cold worker may be called as much as the mean of all, at the least
+	// The same for each of the workers: the home of a function with a tenth of all calls is called a tenth of
+	// their number times the mean, of which it bears six times coldEven.
+	coldTop = 0.025
 )
 
 // New returns a Router for these settings. All its randomness comes from the seed.
--- a/rules.go
+++ b/rules.go
@@ -67,9 +67,11 @@
 		}
 		budget := coldMargin * r.set.TipMultiple * span.Seconds() * r.ripeness(w) * w.Weight * rate
 		// Most such draws are lost on workers that nothing is for just then. While calls come as usual one is
-		// let through by chance, so that a worker that is called coldEven times as much as others bears it.
+		// let through by chance, so that a worker that is called coldEven times as much as others bears it,
+		// and where there are hundreds the home of a function that is called much.
 		usual := r.allCalls * r.fade(r.lastCall) / (widthTau * r.set.KeepAlive.Seconds() * max(r.size, 1))
-		chance := budget / (span.Seconds() * coldEven * max(rate, usual) * w.Weight)
+		even := max(coldEven, coldTop*r.size)
+		chance := budget / (span.Seconds() * even * max(rate, usual) * w.Weight)
 		w.quota = int(max(budget, min(chance, 1)) + r.rng.Float64())
 		w.quotaTill = r.now + span
 	}
