Show that the program as the platform starts it opens no UDP socket

Need: what the schedulers of a fleet share ships switched off, and nothing failed if `run` named an operator's file or the program opened a socket to others. TestRunSharesNothing reads the deploy file's line, starts the program, serves a call and looks at its descriptors in /proc; the same count gives 1 for a scheduler that shares (TestSharedSuspicions). 5 times. Open: an operator's file named by the environment.

--- a/cmd/calicohill/peers_test.go
+++ b/cmd/calicohill/peers_test.go
@@ -149,6 +149,10 @@
 	t.Parallel()
 	f := peers(t, dozen, 12)
 
+	if n := udpSockets(t, f.Instances[0].Pid()); n != 1 {
+		t.Errorf("%d UDP sockets of one that shares, 1 is wanted", n)
+	}
+
 	// One accuses every worker: all stop hearing it, and nobody leaves a worker out.
 	liar, err := f.NewHostile("liar")
 	if err != nil {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -402,6 +402,9 @@
 	return in.cmd.Process.Signal(s)
 }
 
+// Pid is the process of a scheduler that runs.
+func (in *Instance) Pid() int { return in.cmd.Process.Pid }
+
 // Kill ends a scheduler without a word.
 func (in *Instance) Kill() {
 	if in.ended != nil {
