--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -62,6 +62,8 @@
 	talk   Way             // between those of apart and the others
 	apart  map[string]bool // gossip addresses
 
+	late atomic.Int64 // nanoseconds by which this machine was late at the worst so far, where that is measured
+
 	mu      sync.Mutex
 	links   map[linked]*Link
 	rolling sync.WaitGroup
@@ -427,7 +429,11 @@
 	if err := in.Signal(syscall.SIGTERM); err != nil {
 		return fmt.Errorf("scheduler %s: %w", in.Name, err)
 	}
-	time.AfterFunc(frontLeaves, func() { in.away.Store(true) })
+	time.AfterFunc(frontLeaves, func() {
+		if in.away.Store(true); time.Duration(in.fleet.late.Load()) > frontLeaves {
+			in.hurt.Store(time.Now().UnixNano()) // what the front sent in time may have come after the end
+		}
+	})
 	select {
 	case err := <-in.ended:
 		in.ended = nil
