Send no repeat whose connection comes up when its key is forgotten

Seen in reading: the guard of keyed classes (maySend in rules.go) looks at the memory span when an attempt is decided. An attempt that then waits for a connection is written when that is up, up to connectTimeoutMs later, and dispatch.May asked only after the client, the time and the drain. With a span of 600 ms and a connection that comes up after 1 s the repeat was written 1 s after the first attempt and answered 200: run twice.

Checked and ruled out beside it: a client that cancels or closes, and a worker that begins to drain, while the connection is being made. Nothing is written then (TestLeftWhileDialing, TestDrainsWhileDialing).

Change: Send.Within says how long from now an attempt may begin; May asks after it. Where it is over the attempt counts as never sent.

Tests: endings_test.go, over loopback, against a listener whose queue of connections is full until the test says so. TestRepeatWaitsTooLong fails without the change in May.

--- a/api.go
+++ b/api.go
@@ -370,6 +370,9 @@
 	ID      string
 	Worker  string
 	Timeout time.Duration // 0 means until the client gives up
+	// Within is how long from now it may begin: a repeat that has waited longer for its connection would come when
+	// workers have forgotten the first. 0 means any time.
+	Within time.Duration
 }
 
 // Cancel stops the wait for an attempt.
--- a/cmd/calicohill/rig_test.go
+++ b/cmd/calicohill/rig_test.go
@@ -19,6 +19,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // patient is how long a test waits for what must come. It is no bound on speed: a run that is right ends sooner.
@@ -84,6 +86,7 @@
 	bulletin *httptest.Server
 	config   string         // its file
 	operator string         // the operator's; "" if none
+	settings [][2]string    // what stands otherwise in the settings: old and new text
 	polling  map[string]int // polls that are open, by the address of the bulletin
 }
 
@@ -173,6 +176,16 @@
 	s.changed = make(chan struct{})
 }
 
+// told adds an event and waits until the program has taken it in.
+func (s *site) told(all bool, targets ...string) {
+	s.t.Helper()
+	s.tell(all, targets...)
+	s.mu.Lock()
+	want := fmt.Sprintf("event=%d", len(s.events))
+	s.mu.Unlock()
+	until(s.t, "the program knows of "+want, func() bool { return strings.Contains(s.log.String(), want) })
+}
+
 // configure writes the configuration, with the events told so far.
 func (s *site) configure() {
 	s.t.Helper()
@@ -181,10 +194,17 @@
 	if s.stale > 0 {
 		known = fmt.Sprintf(`{"no":%d,"items":[%s]}`, s.stale, strings.Join(s.events[:s.stale], ","))
 	}
+	settings := fmt.Sprintf(strings.Replace(testSettings, `"balancers":1`, `"balancers":`+strconv.Itoa(max(s.of, 1)), 1), s.idleMs)
+	for _, c := range s.settings {
+		if !strings.Contains(settings, c[0]) {
+			s.t.Fatalf("no %s in the settings", c[0])
+		}
+		settings = strings.ReplaceAll(settings, c[0], c[1])
+	}
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": s.addr, "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": s.sockets},
 		"bulletin": s.bulletin.Listener.Addr().String(), "known": json.RawMessage(known),
-		"settings": json.RawMessage(fmt.Sprintf(strings.Replace(testSettings, `"balancers":1`, `"balancers":`+strconv.Itoa(max(s.of, 1)), 1), s.idleMs))})
+		"settings": json.RawMessage(settings)})
 	s.mu.Unlock()
 	if err != nil {
 		s.t.Fatal(err)
@@ -284,22 +304,54 @@
 	}
 	a := &nodeAgent{addr: l.Addr().String(), l: l, reply: reply}
 	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			a.mu.Lock()
-			a.conns++
-			n := a.conns
-			a.mu.Unlock()
-			go a.serve(c, n)
-		}
-	}()
+	go a.accept()
 	return a
 }
 
+func (a *nodeAgent) accept() {
+	for {
+		c, err := a.l.Accept()
+		if err != nil {
+			return
+		}
+		a.mu.Lock()
+		a.conns++
+		n := a.conns
+		a.mu.Unlock()
+		go a.serve(c, n)
+	}
+}
+
+// newLateAgent is an agent to which connections come up only once open is called, and then when the system asks for
+// them the next time, some second after it did first: its queue of connections is full until then.
+func newLateAgent(t *testing.T, reply func(n int, g goLine) string) (a *nodeAgent, open func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		err = errors.Join(err, raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), 0) }), err)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	fill, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	a = &nodeAgent{addr: l.Addr().String(), l: l, reply: reply}
+	return a, func() {
+		fill.Close()
+		if c, err := l.Accept(); err == nil { // what filled the queue
+			c.Close()
+		}
+		go a.accept()
+	}
+}
+
 func (a *nodeAgent) serve(c net.Conn, number int) {
 	defer func() {
 		c.Close()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -155,6 +155,7 @@
 	worker string
 	sent   time.Duration
 	until  time.Duration // its time is over then
+	begin  time.Duration // it is not begun later
 	late   deadline.Entry
 }
 
@@ -307,10 +308,11 @@
 }
 
 // May reports whether an attempt may still be written. The client may have left, its time be over after a stall, or
-// the worker have begun to drain, since the Router was told last.
+// the worker have begun to drain, since the Router was told last; and workers may have forgotten an earlier attempt
+// while this one waited for a connection.
 func (d *Dispatcher) May(ref slot.Ref) bool {
 	a, ok := d.attempts.Get(ref)
-	return ok && !a.q.done && d.loop.Now() < a.until && d.states[a.worker] == calicohill.Ready
+	return ok && !a.q.done && d.loop.Now() < min(a.until, a.begin) && d.states[a.worker] == calicohill.Ready
 }
 
 // ---- the list ----
@@ -437,7 +439,11 @@
 	if s.Timeout > 0 {
 		until = min(until, now+s.Timeout)
 	}
-	if a.until = until; !d.May(a.ref) {
+	a.until, a.begin = until, until
+	if s.Within > 0 {
+		a.begin = now + s.Within
+	}
+	if !d.May(a.ref) {
 		d.end(a, End{Outcome: calicohill.Unsent, Company: -1})
 		return
 	}
--- a/rules.go
+++ b/rules.go
@@ -94,7 +94,10 @@
 	if r.now < r.blindTill || !r.maySend(q, w) {
 		return false
 	}
-	p := q.fn.pair(w)
+	p, within := q.fn.pair(w), time.Duration(0)
+	if first := q.mayHaveRun(); first != nil && q.class.Effect == Keyed {
+		within = first.sent + q.class.MemorySpan - r.set.Tick - r.now
+	}
 	a := &attempt{q: q, n: len(q.attempts), w: w, p: p, sent: r.now, cost: r.service(q.fn), cold: !warm}
 	aim := q.class.Aim.Seconds()
 	patience := min(max(overdueAims*aim, overdueMeans*a.cost), aim)
@@ -121,7 +124,7 @@
 		w.tries++
 		w.tryAt = r.now + r.pause(w)
 	}
-	r.act(Send{q.ID, w.ID, max(q.end-r.now-r.set.Tick, time.Millisecond)})
+	r.act(Send{q.ID, w.ID, max(q.end-r.now-r.set.Tick, time.Millisecond), within})
 	return true
 }
 
