Let no close cut an answer that is half written, and end on nothing unread

Seen in reading: what the system does not take of an answer at once waits in gnet's buffer, and a close tries it once and drops the rest. Four paths closed without asking: the end after SIGTERM (drain in run.go), room made for a newcomer (makeRoom: the connection has no request open any more), a request without KEEP_CONN (stream.end), an overdue rest (conn.overdue). With five answers of 1 MB and a client that reads 1.5 s later the first three cut answers: TestHalfWritten* fail before the change.

Seen too: the first look after SIGTERM ended the program though clients' connections were still to be accepted. After a stall of 2 s beyond the time 20 clients with whole requests were cut off, all but the first: gnet takes one connection a pass (TestStalledAtTheEnd).

And each client that does not read may have 4 MB wait; all together had no bound, and 341 of them are more than the machine has (TestUnreadAnswersAreBounded).

Change: Server keeps which connections have something unsent; linger closes a connection once all is sent, 3 s at most; drain waits for what is unsent as long, and for a look at which nothing came; an eighth of the memory may wait for all clients, the one with the most is closed first.

Checked and ruled out: a client that never reads does not keep the program (TestNeverReadAtTheEnd, ended after 3 s of waiting).

--- a/cmd/calicohill/endings_test.go
+++ b/cmd/calicohill/endings_test.go
@@ -1,6 +1,10 @@
 package main
 
 import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -107,3 +111,153 @@
 		}
 	}
 }
+
+// halfWritten is a site whose first client has answers of some MB coming and reads none of it, so that the system does
+// not take all of them. Few clients find room beside it.
+func halfWritten(t *testing.T, last func(*request)) (s *site, f *front, whole func()) {
+	t.Helper()
+	big := strings.Repeat("0123456789", 100_000)
+	a := newAgent(t, func(n int, g goLine) string {
+		if g.body == "big" {
+			return answerLine(g.id, "OK", "-", big)
+		}
+		return echo(n, g)
+	})
+	s = newSite(t)
+	s.sockets = 90
+	s.tell(true, "a SERVING "+a.addr)
+	f = s.start().slowFront()
+	const count = 5
+	for id := uint16(1); id <= count; id++ {
+		q := call("consulta", "big", [2]string{"HTTP_X_SPEC", "lanes:8"})
+		if q.id = id; id == count && last != nil {
+			last(&q)
+		}
+		f.send(q)
+	}
+	until(t, "all requests are at the worker", func() bool { return len(a.had()) == count })
+	return s, f, func() {
+		t.Helper()
+		for range count {
+			if got := f.read(); got.status != 200 || got.body != big {
+				t.Fatalf("request %d got status %d and %d bytes, want %d", got.id, got.status, len(got.body), len(big))
+			}
+		}
+	}
+}
+
+// Answers that are half written when the program is told to end go out whole, if their client takes its time too.
+func TestHalfWrittenAtTheEnd(t *testing.T) {
+	s, _, whole := halfWritten(t, nil)
+	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(1500 * time.Millisecond) // it may end 0.7 s after that
+	whole()
+	s.endsWell()
+}
+
+// A client that reads nothing does not keep the program from its end.
+func TestNeverReadAtTheEnd(t *testing.T) {
+	s, _, _ := halfWritten(t, nil)
+	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	s.endsWell()
+}
+
+// A connection that is to end with a request ends when all answers on it are sent.
+func TestHalfWrittenOnce(t *testing.T) {
+	_, f, whole := halfWritten(t, func(q *request) { q.once = true })
+	time.Sleep(300 * time.Millisecond)
+	whole()
+	if !f.gone() {
+		t.Error("the connection stays open")
+	}
+}
+
+// A connection with answers half written has no request open any more, and is not the one to make room all the same.
+func TestHalfWrittenMakesNoRoom(t *testing.T) {
+	s, _, whole := halfWritten(t, nil)
+	for range 30 { // 29 find room
+		f := s.front()
+		f.send(call("consulta", "x"))
+		if got := f.read(); got.body != "re:x" {
+			t.Errorf("status %d, want it served", got.status)
+		}
+	}
+	whole()
+}
+
+// What waits for clients that do not read is bounded for all of them together: each alone stays within its own bound.
+func TestUnreadAnswersAreBounded(t *testing.T) {
+	big := strings.Repeat("0123456789", 25_000)
+	a := newAgent(t, func(n int, g goLine) string {
+		if g.body == "big" {
+			return answerLine(g.id, "OK", "-", big)
+		}
+		return echo(n, g)
+	})
+	s := newSite(t)
+	s.sockets, s.memoryMB = 90, 32
+	s.tell(true, "a SERVING "+a.addr)
+	s.start()
+	const closed = "too much waits for clients that do not read"
+	until(t, "one of them is closed", func() bool {
+		f := s.slowFront()
+		for id := uint16(1); id <= 20 && !strings.Contains(s.log.String(), closed); id++ {
+			q := call("consulta", "big", [2]string{"HTTP_X_SPEC", "lanes:30"})
+			q.id = id
+			had := len(a.had())
+			f.c.Write(q.bytes()) // it may be the one that was closed
+			until(t, "the worker has it", func() bool { return len(a.had()) > had || strings.Contains(s.log.String(), closed) })
+		}
+		return strings.Contains(s.log.String(), closed)
+	})
+	f := s.front()
+	f.send(call("consulta", "x"))
+	if got := f.read(); got.body != "re:x" {
+		t.Errorf("status %d for a client that reads", got.status)
+	}
+}
+
+// stopped stops the program for what is done meanwhile.
+func (s *site) stopped(meanwhile func()) {
+	s.t.Helper()
+	if err := s.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		s.t.Fatal(err)
+	}
+	until(s.t, "the program stands still", func() bool {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", s.cmd.Process.Pid))
+		return err == nil && strings.Contains(string(text), ") T ")
+	})
+	meanwhile()
+	if err := s.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// Clients that came while a program that is to end had no processor are served, though its time is up when it has one
+// again: their connections were taken by the system, one after the other by the program.
+func TestStalledAtTheEnd(t *testing.T) {
+	s, _ := one(t, echo)
+	var fronts []*front
+	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "it drains", func() bool { return strings.Contains(s.log.String(), "draining") })
+	s.stopped(func() {
+		for range 20 {
+			f := s.front()
+			f.send(call("consulta", "x"))
+			fronts = append(fronts, f)
+		}
+		time.Sleep(2 * time.Second)
+	})
+	for _, f := range fronts {
+		if got := f.read(); got.body != "re:x" && got.status != 503 {
+			t.Errorf("status %d", got.status)
+		}
+	}
+	s.endsWell()
+}
--- a/cmd/calicohill/program_test.go
+++ b/cmd/calicohill/program_test.go
@@ -562,18 +562,10 @@
 	f := s.front()
 	f.send(call("consulta", "x")) // the connection is known to the program
 	f.read()
-	if err := s.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-		t.Fatal(err)
-	}
-	until(t, "the program stands still", func() bool {
-		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", s.cmd.Process.Pid))
-		return err == nil && strings.Contains(string(text), ") T ")
+	s.stopped(func() {
+		f.send(call("consulta", "x"))
+		time.Sleep(500 * time.Millisecond)
 	})
-	f.send(call("consulta", "x"))
-	time.Sleep(500 * time.Millisecond)
-	if err := s.cmd.Process.Signal(syscall.SIGCONT); err != nil {
-		t.Fatal(err)
-	}
 	f.read()
 	had := a.had()
 	if ms, err := strconv.Atoi(had[len(had)-1].fields["patience"]); err != nil || ms > 8500 {
@@ -920,14 +912,7 @@
 	if got := slow.read(); got.body != "re:slow" {
 		t.Errorf("the slow request: status %d", got.status)
 	}
-	select {
-	case err := <-s.ended:
-		if s.ended <- err; err != nil {
-			t.Errorf("ended with %v", err)
-		}
-	case <-time.After(patient):
-		t.Error("the program does not end")
-	}
+	s.endsWell()
 }
 
 // A scheduler that is killed starts again at its address, whatever became of its connections, and is told the list.
--- a/cmd/calicohill/rig_test.go
+++ b/cmd/calicohill/rig_test.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -83,6 +84,7 @@
 	stale    int // how many events the configuration holds; 0 for all
 	idleMs   int
 	sockets  int
+	memoryMB int
 	bulletin *httptest.Server
 	config   string         // its file
 	operator string         // the operator's; "" if none
@@ -109,7 +111,7 @@
 }
 
 func newSite(t *testing.T) *site {
-	s := &site{t: t, changed: make(chan struct{}), idleMs: 15000, sockets: 1024, polling: map[string]int{}}
+	s := &site{t: t, changed: make(chan struct{}), idleMs: 15000, sockets: 1024, memoryMB: 192, polling: map[string]int{}}
 	s.bulletin = httptest.NewServer(http.HandlerFunc(s.poll))
 	return s
 }
@@ -202,7 +204,7 @@
 		settings = strings.ReplaceAll(settings, c[0], c[1])
 	}
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": s.addr, "seed": "8c1f30d27a5be964",
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": s.sockets},
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": s.memoryMB, "sockets": s.sockets},
 		"bulletin": s.bulletin.Listener.Addr().String(), "known": json.RawMessage(known),
 		"settings": json.RawMessage(settings)})
 	s.mu.Unlock()
@@ -252,6 +254,19 @@
 	return nil
 }
 
+// endsWell waits for the program to end by itself.
+func (s *site) endsWell() {
+	s.t.Helper()
+	select {
+	case err := <-s.ended:
+		if s.ended <- err; err != nil {
+			s.t.Errorf("ended with %v", err)
+		}
+	case <-time.After(patient):
+		s.t.Error("the program does not end")
+	}
+}
+
 // stop kills the program; one that has ended of its own accord must have said so with exit code 0.
 func (s *site) stop() {
 	s.cmd.Process.Kill()
@@ -429,6 +444,7 @@
 	padding byte
 	long    bool // lengths of 4 bytes throughout
 	open    bool // the body goes on
+	once    bool // the connection is to end with it
 }
 
 // front is a client's connection.
@@ -448,13 +464,31 @@
 	return &front{t: s.t, c: c, r: bufio.NewReader(c)}
 }
 
+// slowFront is a client's connection that the system takes little for until it is read.
+func (s *site) slowFront() *front {
+	s.t.Helper()
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		return errors.Join(c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4<<10) }), err)
+	}}
+	c, err := d.Dial("tcp", s.addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { c.Close() })
+	return &front{t: s.t, c: c, r: bufio.NewReader(c)}
+}
+
 func rec(kind byte, id uint16, padding byte, content string) []byte {
 	b := []byte{1, kind, byte(id >> 8), byte(id), byte(len(content) >> 8), byte(len(content)), padding, 0}
 	return append(append(b, content...), make([]byte, padding)...)
 }
 
 func (q request) bytes() []byte {
-	b := rec(1, q.id, q.padding, string([]byte{0, max(q.role, 1), 1, 0, 0, 0, 0, 0}))
+	keep := byte(1)
+	if q.once {
+		keep = 0
+	}
+	b := rec(1, q.id, q.padding, string([]byte{0, max(q.role, 1), keep, 0, 0, 0, 0, 0}))
 	var params []byte
 	for _, p := range q.params {
 		for _, part := range p {
--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -40,8 +40,11 @@
 	drainFor = 700 * time.Millisecond
 	// unfinished is how much longer the rest of a request that has begun to come is waited for.
 	unfinished = time.Second
-	// lookEvery is how often it is seen whether all is answered, and so how long the last answers may take to leave.
+	// lookEvery is how often it is seen whether all is answered. Nothing may have come from clients for as long: what
+	// came to their connections during a stall is read one after the other.
 	lookEvery = 50 * time.Millisecond
+	// sentIn is how long after the last answer was written clients may take to read it.
+	sentIn = 3 * time.Second
 	// leastAnswer and mostAnswer are the bounds of the longest answer that is taken from a worker, in bytes.
 	leastAnswer, mostAnswer = 64 << 10, 1 << 20
 )
@@ -128,7 +131,8 @@
 		// Even if every connection had an answer coming that never ends, a quarter of the memory is enough.
 		MaxAnswer: min(max(cfg.MemoryMB<<20/4/(cfg.Sockets/3), leastAnswer), mostAnswer)}, parts.Part("agent"))
 	d.Use(agents)
-	server := fastcgi.New(l, d, pool, &cfg.Site, clients, parts.Part("clients"), parts.Part("rules"))
+	// An eighth may wait for clients that do not read.
+	server := fastcgi.New(l, d, pool, &cfg.Site, clients, cfg.MemoryMB<<20/8, parts.Part("clients"), parts.Part("rules"))
 	server.Use(fastcgi.NewRules(rules))
 	d.Route(orNone(routes))
 	list := d.List
@@ -312,12 +316,20 @@
 	}
 }
 
-// drain stops the loop once requests have ceased to come and all are answered.
+// drain stops the loop once requests have ceased to come, all are answered, and the answers are sent.
 func drain(l *loop.Loop, d *dispatch.Dispatcher, server *fastcgi.Server) {
 	wait, from := &deadline.Entry{}, l.Now()
+	owed := from // when something was last owed an answer
+	looks := 0   // not the time: after a stall all that came meanwhile is still to be read
 	wait.Fire = func() {
-		if d.Open() > 0 || server.Streams() > 0 && l.Now()-from < drainFor+unfinished {
-			l.At(wait, l.Now()+lookEvery)
+		now := l.Now()
+		looks++
+		coming := server.Streams() > 0 || now-server.Heard() < lookEvery
+		if d.Open() > 0 || coming && looks < int(unfinished/lookEvery) {
+			owed = now
+		}
+		if owed == now || server.Unsent() > 0 && now-owed < sentIn {
+			l.At(wait, now+lookEvery)
 			return
 		}
 		go l.Stop()
--- a/internal/fastcgi/server.go
+++ b/internal/fastcgi/server.go
@@ -34,6 +34,9 @@
 	clientIdle = 4 * time.Second
 	// backlog is how much may wait unsent for a client until it counts as not reading.
 	backlog = 4 << 20
+	// lingerFor is how long a connection that is to be closed is kept for what has not been sent on it yet, and
+	// lingerLook how often it is seen whether it has.
+	lingerFor, lingerLook = 3 * time.Second, 20 * time.Millisecond
 )
 
 // Dispatcher is what a Server needs of the dispatcher.
@@ -58,6 +61,7 @@
 	site       *settings.Site
 	classes    map[string]int
 	maxConns   int
+	maxUnsent  int // bytes that may wait unsent for all clients together
 	log        logs.Thinned
 	rulesLog   logs.Thinned
 	rules      *Rules // nil where there are none
@@ -67,6 +71,10 @@
 	// open, in the order they became idle.
 	silent, idle list.List
 
+	// Connections on which something may not be sent yet.
+	unsent map[*conn]struct{}
+	heard  time.Duration // when something last came from a client, or a client came
+
 	streams slot.Table[*stream]
 	scratch []byte
 }
@@ -83,7 +91,9 @@
 	in      *list.List    // silent, idle or neither
 	place   *list.Element // there
 	late    deadline.Entry
-	awaits  bool // late is set: for a first request, or for the rest of a record
+	awaits  bool          // late is set: for a first request, or for the rest of a record
+	last    bool          // it is closed once no request is open
+	until   time.Duration // while it lingers, till when; nothing is read any more. 0 if it does not
 }
 
 // stream is a request on a connection, from its BEGIN_REQUEST to its END_REQUEST.
@@ -100,10 +110,11 @@
 	late         deadline.Entry // for the rest of the request
 }
 
-// New returns a Server that lets in at most maxConns connections.
-func New(l Loop, d Dispatcher, pool *buffer.Pool, site *settings.Site, maxConns int, log, rules logrus.FieldLogger) *Server {
+// New returns a Server that lets in at most maxConns connections, and has at most maxUnsent bytes wait for clients that
+// do not read.
+func New(l Loop, d Dispatcher, pool *buffer.Pool, site *settings.Site, maxConns, maxUnsent int, log, rules logrus.FieldLogger) *Server {
 	s := &Server{loop: l, dispatcher: d, pool: pool, site: site, classes: map[string]int{}, maxConns: maxConns,
-		log: logs.Thinned{Log: log}, rulesLog: logs.Thinned{Log: rules}}
+		maxUnsent: maxUnsent, unsent: map[*conn]struct{}{}, log: logs.Thinned{Log: log}, rulesLog: logs.Thinned{Log: rules}}
 	for i, name := range site.ClassNames {
 		s.classes[name] = i
 	}
@@ -117,6 +128,7 @@
 		return nil
 	}
 	s.conns++
+	s.heard = s.loop.Now()
 	in := &conn{s: s, c: c, streams: map[uint16]*stream{}}
 	in.late.Fire = in.overdue
 	in.await()
@@ -132,11 +144,13 @@
 // its way.
 func (s *Server) makeRoom() bool {
 	since := func(l *list.List) (*conn, time.Duration) {
-		if l.Len() == 0 {
-			return nil, 0
+		for e := l.Front(); e != nil; e = e.Next() {
+			// One whose answer is not sent whole yet is idle in name only.
+			if c := e.Value.(*conn); c.c.OutboundBuffered() == 0 {
+				return c, s.loop.Now() - c.since
+			}
 		}
-		c := l.Front().Value.(*conn)
-		return c, s.loop.Now() - c.since
+		return nil, 0
 	}
 	least, idle := since(&s.idle)
 	if silent, mute := since(&s.silent); silent != nil && idle <= clientIdle && (least == nil || mute > firstWithin) {
@@ -197,6 +211,10 @@
 // overdue closes a connection on which what had to come did not. What is taken is answered first.
 func (c *conn) overdue() {
 	c.awaits = false
+	if c.until > 0 {
+		c.linger()
+		return
+	}
 	for _, st := range c.streams {
 		if st.taken != 0 {
 			c.await()
@@ -207,7 +225,25 @@
 	for _, st := range c.streams {
 		st.respond(http.StatusRequestTimeout, "", nil)
 	}
-	c.close()
+	c.linger()
+}
+
+// linger closes a connection once all is sent that was written. Nothing more is read.
+//
+// Guards against an answer that is cut: what the system does not take at once waits in the program, and a close drops
+// it.
+func (c *conn) linger() {
+	now := c.s.loop.Now()
+	switch {
+	case c.c == nil:
+	case c.c.OutboundBuffered() == 0 || c.until > 0 && now >= c.until:
+		c.close()
+	default:
+		if c.until == 0 {
+			c.until = now + lingerFor
+		}
+		c.s.loop.At(&c.late, now+lingerLook)
+	}
 }
 
 // complain logs what clients do wrong, each message once in a while: thousands of bad requests must not become
@@ -217,6 +253,35 @@
 // Streams is the number of requests begun and not ended.
 func (s *Server) Streams() int { return s.streams.Len() }
 
+// Heard is when something last came from a client, or a client came.
+func (s *Server) Heard() time.Duration { return s.heard }
+
+// Unsent is how many bytes are written for clients and not sent yet.
+func (s *Server) Unsent() (bytes int) {
+	for c := range s.unsent {
+		n := c.c.OutboundBuffered()
+		if bytes += n; n == 0 {
+			delete(s.unsent, c)
+		}
+	}
+	return bytes
+}
+
+// spare closes connections whose clients do not read, the one with the most first, until what waits for all clients
+// is within its bound.
+func (s *Server) spare() {
+	for s.Unsent() > s.maxUnsent {
+		var most *conn
+		for c := range s.unsent {
+			if most == nil || c.c.OutboundBuffered() > most.c.OutboundBuffered() {
+				most = c
+			}
+		}
+		s.complain("client closed: too much waits for clients that do not read", nil)
+		most.close()
+	}
+}
+
 // Answer writes a final answer.
 func (s *Server) Answer(tag slot.Ref, a dispatch.Answer) {
 	st, ok := s.streams.Get(tag)
@@ -242,6 +307,11 @@
 
 // Traffic reads records.
 func (c *conn) Traffic(gc gnet.Conn) error {
+	c.s.heard = c.s.loop.Now()
+	if c.until > 0 {
+		_, _ = gc.Discard(-1)
+		return nil
+	}
 	c.unread = loop.Unread(gc)
 	for {
 		b, err := gc.Peek(-1)
@@ -266,6 +336,10 @@
 		if c.c == nil {
 			return nil // closed meanwhile
 		}
+		if c.until > 0 {
+			_, _ = gc.Discard(-1)
+			return nil
+		}
 		if _, err := gc.Discard(n); err != nil {
 			return fmt.Errorf("reading on: %w", err)
 		}
@@ -349,9 +423,14 @@
 	c.s.scratch = b[:0]
 	// An error closes the connection and is seen by Closed.
 	_, _ = c.c.Write(b)
-	if c.c != nil && c.c.OutboundBuffered() > backlog {
+	switch {
+	case c.c == nil || c.c.OutboundBuffered() == 0:
+	case c.c.OutboundBuffered() > backlog:
 		c.s.complain("client closed: it does not read", nil)
 		c.close()
+	default:
+		c.s.unsent[c] = struct{}{}
+		c.s.spare()
 	}
 }
 
@@ -365,9 +444,11 @@
 // Closed gives up all that was open.
 func (c *conn) Closed(gnet.Conn, error) {
 	c.c = nil
+	delete(c.s.unsent, c)
 	c.s.conns--
 	c.sort()
-	c.relax()
+	c.awaits = false
+	c.s.loop.Drop(&c.late)
 	for _, st := range c.streams {
 		st.forget()
 		if st.taken != 0 {
@@ -500,8 +581,8 @@
 	delete(c.streams, st.id)
 	c.meet()
 	c.write(last)
-	if !st.keep {
-		c.close()
+	if c.last = c.last || !st.keep; c.last && len(c.streams) == 0 {
+		c.linger()
 	}
 }
 
