Let nothing hold up the end, and take no file that would end a start

Seen in reading: one goroutine heeded all signals, one after the other, over a channel of four. While a configuration is read (a disk that stands still) SIGTERM waited, and behind four signals it was lost. Each kind of signal has a channel and a goroutine now.

Seen too: a reload took the bulletin's address from files that would end a start: classes of an unknown effect were refused, but attemptsCap 0, known events that make no sense and two classes of one name were not looked at. Two classes of one name were taken at a start as well, and the second got the requests of both: one class's limits for another's requests. Names that are none, and times below 0 or beyond all, are refused at both.

A reload applied the levels of the log before what may still fail; they come last now.

Tests: TestReload (five files that change nothing), TestBadConfiguration.

--- a/cmd/calicohill/endings_test.go
+++ b/cmd/calicohill/endings_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // What ends while something is owed: each crossing is forced by what peers do, and in which order.
@@ -261,3 +264,31 @@
 	}
 	s.endsWell()
 }
+
+// A configuration that is read for long, as from a disk that stands still, does not hold up the end, and neither do
+// many orders to read it.
+func TestTermAmidReload(t *testing.T) {
+	s, _ := one(t, echo)
+	fifo := filepath.Join(t.TempDir(), "config")
+	if err := unix.Mkfifo(fifo, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(fifo, s.config); err != nil { // whoever reads it waits for a writer
+		t.Fatal(err)
+	}
+	for range 8 {
+		if err := s.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond) // or the system makes one of them
+	}
+	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	f := s.front()
+	f.send(call("consulta", "x"))
+	if got := f.read(); got.body != "re:x" {
+		t.Errorf("status %d right after SIGTERM", got.status)
+	}
+	s.endsWell()
+}
--- a/cmd/calicohill/program_test.go
+++ b/cmd/calicohill/program_test.go
@@ -962,10 +962,27 @@
 		}
 		until(t, "the log says "+want, func() bool { return strings.Contains(s.log.String(), want) })
 	}
-	if err := os.WriteFile(s.config, []byte(`{"bulletin":`), 0o600); err != nil {
+	// What would end a start changes nothing either: not even where the bulletin is.
+	text, err := os.ReadFile(s.config)
+	if err != nil {
 		t.Fatal(err)
 	}
-	hup("configuration not read again")
+	moved := strings.Replace(string(text), s.bulletin.Listener.Addr().String(), "127.0.0.1:1", 1)
+	for i, bad := range []string{`{"bulletin":`, strings.Replace(moved, `"attemptsCap":4`, `"attemptsCap":0`, 1),
+		strings.Replace(moved, `"effect":"read_like"`, `"effect":"none"`, 1),
+		strings.Replace(moved, `"state":"SERVING"`, `"state":"?"`, 1),
+		strings.Replace(moved, `"name":"consulta"`, `"name":"certificado"`, 1)} {
+		if bad == moved {
+			t.Fatalf("file %d is as it was", i)
+		}
+		if err := os.WriteFile(s.config, []byte(bad), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		until(t, fmt.Sprintf("file %d is not taken", i), func() bool { return strings.Count(s.log.String(), "not read again") == i+1 })
+	}
 	s.tell(true, "b SERVING "+b.addr)
 	serves(t, s, "b")
 
@@ -996,6 +1013,11 @@
 		{"settings", strings.Replace(whole, "read_like", "harmless", 1), "effect"},
 		{"no class", strings.Replace(whole, `"attemptsCap":4`, `"attemptsCap":0`, 1), "attempt"},
 		{"known", strings.Replace(whole, `"seed"`, `"known":{"items":7},"seed"`, 1), "known"},
+		{"two classes of a name", strings.Replace(whole, `"name":"consulta"`, `"name":"certificado"`, 1), "another's"},
+		{"class without a name", strings.Replace(whole, `"name":"consulta"`, `"name":""`, 1), "name"},
+		{"class that is no word", strings.Replace(whole, `"name":"consulta"`, `"name":"a,asset=b"`, 1), "name"},
+		{"a time below 0", strings.Replace(whole, `"coldMs":17000`, `"coldMs":-1`, 1), "time"},
+		{"a time beyond all", strings.Replace(whole, `"coldMs":17000`, `"coldMs":1e300`, 1), "time"},
 		{"sockets", strings.Replace(whole, `"seed"`, `"limits":{"sockets":3},"seed"`, 1), "sockets"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -72,6 +72,13 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	// What would end a start is of no use to a reload either, though it takes up little of it.
+	if _, err := calicohill.New(cfg.Site.Settings, cfg.Seed); err != nil {
+		return nil, nil, fmt.Errorf("configuration %s: settings: %w", p.config, err)
+	}
+	if err := bulletin.Check(cfg.Known, cfg.Site.Zones, cfg.Site.Kinds); err != nil {
+		return nil, nil, fmt.Errorf("configuration %s: %w", p.config, err)
+	}
 	if p.operator == "" {
 		return cfg, operator.None(), nil
 	}
@@ -155,11 +162,10 @@
 		return fmt.Errorf("configuration %s: %w", from.config, err)
 	}
 	// Told before anything is served: a SIGHUP that nobody heeds ends the program.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGTERM, os.Interrupt)
+	hup, usr, term := notify(syscall.SIGHUP), notify(syscall.SIGUSR1), notify(syscall.SIGTERM, os.Interrupt)
 	var status atomic.Value // the file that counts are written to
 	status.Store(own.Log.Status)
-	reload := func(os.Signal) {
+	reload := func() {
 		// Of the platform's file only the address of the bulletin is taken: what is out, and all that was learned,
 		// stands. A file that cannot be used changes nothing, or a slip of the pen would end a good scheduler.
 		next, nextOwn, err := from.read()
@@ -185,12 +191,12 @@
 		} else if err == nil && peers != nil {
 			takeUp, err = peers.Prepare(*nextOwn.Gossip)
 		}
-		if err == nil {
-			err = parts.Apply(nextOwn.Log)
-		}
 		if err == nil {
 			err = takeUp()
 		}
+		if err == nil { // last, since it was checked with the file, and all before may fail
+			err = parts.Apply(nextOwn.Log)
+		}
 		if err != nil {
 			log.WithError(err).Error("configuration not read again: the old one stands")
 			return
@@ -223,12 +229,16 @@
 				go reportRules(parts.Part("rules"), counts, status.Load().(string))
 			})
 		}
-		go heed(signals, l, reload, report, func(s os.Signal) {
-			if !draining {
-				draining = true
-				log.WithField("signal", s.String()).Info("draining")
-				drain(l, d, server)
-			}
+		go heed(hup, func(os.Signal) { reload() })
+		go heed(usr, func(os.Signal) { report() })
+		go heed(term, func(s os.Signal) {
+			l.Post(func() {
+				if !draining {
+					draining = true
+					log.WithField("signal", s.String()).Info("draining")
+					drain(l, d, server)
+				}
+			})
 		})
 		log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen}).Info("scheduler started")
 	}
@@ -301,18 +311,18 @@
 	}
 }
 
-// heed acts on signals for as long as the program runs: SIGHUP has the configuration read again, SIGUSR1 has counts
-// logged, SIGTERM or an interrupt begins the end.
-func heed(signals <-chan os.Signal, l *loop.Loop, reload func(os.Signal), report func(), drain func(os.Signal)) {
+// notify has signals told. One that comes while another of them waits to be heeded is told with it.
+func notify(signals ...os.Signal) <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, signals...)
+	return c
+}
+
+// heed acts on signals for as long as the program runs. Each kind has a goroutine of its own: a configuration that
+// is read for long must not hold up the end.
+func heed(signals <-chan os.Signal, act func(os.Signal)) {
 	for s := range signals {
-		switch s {
-		case syscall.SIGHUP:
-			reload(s)
-		case syscall.SIGUSR1:
-			report()
-		default:
-			l.Post(func() { drain(s) })
-		}
+		act(s)
 	}
 }
 
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -121,21 +121,33 @@
 	log logrus.FieldLogger) (*Watch, error) {
 	w := &Watch{loop: l, addr: addr, zones: zones, kinds: kinds, sink: sink, log: log, core: core, conns: map[int]*conn{}}
 	w.next.Fire = func() { w.step() }
+	var err error
+	w.known, err = readKnown(known, zones, kinds)
+	return w, err
+}
+
+// Check reports what makes no sense in the events known already.
+func Check(known []byte, zones, kinds []string) error {
+	_, err := readKnown(known, zones, kinds)
+	return err
+}
+
+func readKnown(known []byte, zones, kinds []string) (f Feed, err error) {
 	if len(known) == 0 {
-		return w, nil
+		return f, nil
 	}
-	if err := json.Unmarshal(known, &w.known); err != nil {
-		return nil, fmt.Errorf("known events: %w", err)
+	if err := json.Unmarshal(known, &f); err != nil {
+		return f, fmt.Errorf("known events: %w", err)
 	}
-	for _, e := range w.known.Items {
+	for _, e := range f.Items {
 		if e.Roster == nil {
 			continue
 		}
 		if _, err := e.read(zones, kinds, false); err != nil {
-			return nil, fmt.Errorf("known event %d: %w", e.No, err)
+			return f, fmt.Errorf("known event %d: %w", e.No, err)
 		}
 	}
-	return w, nil
+	return f, nil
 }
 
 // Start hands on the events known already and begins to poll.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 
 	"calicohill/internal/settings"
 )
@@ -93,8 +95,20 @@
 	if c.Site, err = settings.Parse(f.Settings); err != nil {
 		return err
 	}
+	for i, name := range c.Site.ClassNames {
+		if !isName(name) || slices.Contains(c.Site.ClassNames[:i], name) {
+			return fmt.Errorf("settings: class %d: name %q is not one, or another's too", i, name)
+		}
+	}
 	if c.Site.Streams < 1 || c.Site.ConnectTimeout <= 0 || c.Site.IdleClose <= 0 {
 		return errors.New("settings: ceilings: multiplex, connectTimeoutMs and idleCloseMs must be above 0")
 	}
 	return nil
 }
+
+// isName reports whether a class's name can stand in a path, and in a list of fields.
+func isName(s string) bool {
+	return s != "" && len(s) <= 64 && !strings.ContainsFunc(s, func(c rune) bool {
+		return c <= ' ' || c >= 0x7f || strings.ContainsRune(",=/?", c)
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -108,12 +108,22 @@
 	}
 )
 
+// longest is the longest time that settings may name; more is taken for nonsense.
+const longest = 365 * 24 * time.Hour
+
 // Parse reads a settings object.
 func Parse(text []byte) (Site, error) {
 	var b object
 	if err := json.Unmarshal(text, &b); err != nil {
 		return Site{}, fmt.Errorf("settings: %w", err)
 	}
+	var strange error // the first time that can't be
+	duration := func(ms float64) time.Duration {
+		if strange == nil && (ms < 0 || ms > float64(longest/time.Millisecond)) {
+			strange = fmt.Errorf("settings: a time of %g ms", ms)
+		}
+		return duration(ms)
+	}
 	s := calicohill.Settings{
 		Schedulers: b.Balancers, Rank: b.Rank, Zone: b.AZ, Tick: duration(b.TickMs),
 		OverShareWorth: b.OverShareWorth,
@@ -151,7 +161,10 @@
 			Effect: effect, Scope: scope, MemorySpan: duration(c.MemorySpanMs), Stream: c.Stream,
 		})
 	}
-	for _, t := range b.Tenants {
+	for i, t := range b.Tenants {
+		if t.QuotaPerS < 0 || t.Share < 0 {
+			return Site{}, fmt.Errorf("settings: tenant %d: share %g, %g a second", i, t.Share, t.QuotaPerS)
+		}
 		s.Tenants = append(s.Tenants, calicohill.Tenant{Share: t.Share, PerSecond: t.QuotaPerS})
 	}
 	site := Site{Settings: s, Zones: b.Zones, Kinds: b.Kinds, Streams: b.Ceilings.Multiplex,
@@ -159,7 +172,7 @@
 	for _, c := range b.Classes {
 		site.ClassNames = append(site.ClassNames, c.Name)
 	}
-	return site, nil
+	return site, strange
 }
 
 func duration(ms float64) time.Duration {
--- a/rules.go
+++ b/rules.go
@@ -55,7 +55,7 @@
 // send more than a multiple, below the one that tips, of what was answered. It begins at one call at a time,
 // answered within the least aim.
 func (r *Router) coldRoom(w *worker) bool {
-	if !r.isCold(w) {
+	if !r.isCold(w) || r.set.TipMultiple == 0 || r.set.TipFor == 0 { // none falls over where none is told to
 		return true
 	}
 	if r.now >= w.quotaTill {
