Hold a cold worker's budget in any window, not only in those it is drawn for

Seen in reading: coldRoom drew a quota for a window that began with the draw. What was left at the end of one window and all of the next could go within a moment, and a burst that waited for its connection arrived in one window with the burst after it.

Change: the times of the calls sent to a cold worker are kept, and no more than the quota are sent in a window and an eighth, an eighth for what comes late. What a draw leaves unused still lapses.

TestNoColdBudget is the test of the change before: where no multiple or no time is told, a cold worker is not bounded.

--- a/health.go
+++ b/health.go
@@ -184,7 +184,8 @@
 		if in.Started != w.Started && in.Started > 0 {
 			// A new start: it is empty and cold, whatever was known of it before.
 			w.life++
-			w.limit, w.suspect, w.tries, w.others, w.quotaTill = r.limitStart(), false, 0, 0, 0
+			w.limit, w.suspect, w.tries, w.others = r.limitStart(), false, 0, 0
+			w.quotaTill, w.sentCold = 0, nil
 			w.full, w.noLoads, w.sheds, w.errs = 0, 0, 0, decay.Value{}
 		}
 		if in.State == Gone {
--- a/router_test.go
+++ b/router_test.go
@@ -411,6 +411,75 @@
 	}
 }
 
+// The budget holds for any window, not only for those that it is drawn for: what is saved till the end of one is not
+// followed by all of the next.
+func TestColdBudgetOfAnyWindow(t *testing.T) {
+	b := newBed(t, settings(), ready("w0", 0))
+	n := 0
+	var cold []time.Duration
+	step := func(calls int) {
+		events := []Event{TimerFired{beatToken}}
+		for range calls {
+			events = append(events, call(fmt.Sprint("r", n), fmt.Sprint("f", n%50)))
+			n++
+		}
+		for _, s := range only[Send](b.step(beat, events...)) {
+			if s.Worker == "w1" {
+				cold = append(cold, b.now)
+			}
+			b.step(0, end(s, 0, Served))
+		}
+	}
+	for range 500 { // about 100 calls a second on one warm worker
+		step(1)
+	}
+	rate := float64(b.r.perWeight)
+	b.step(0, WorkerList{Workers: []Worker{{ID: "w1", State: Ready, Weight: 1, Started: b.now}, {ID: "w0", State: Draining}}})
+	started := b.now
+	for range 6 { // a few calls begin a window, most come around its end
+		step(1)
+		for b.now < b.r.workers["w1"].quotaTill-12*beat {
+			step(0)
+		}
+		for range 24 {
+			step(30)
+		}
+	}
+	if len(cold) == 0 {
+		t.Fatal("nothing was sent to the cold worker")
+	}
+	for i, t0 := range cold {
+		in := 0
+		for _, u := range cold[i:] {
+			if u-t0 < time.Second {
+				in++
+			}
+		}
+		if limit := 2 * (0.25 + 0.75*(t0+time.Second-started).Seconds()/10) * rate; float64(in) > limit {
+			t.Fatalf("%d sends in the second from %v, the worker tips over at %.0f", in, t0-started, limit)
+		}
+	}
+}
+
+// Where nothing is told of a fall, a cold worker is called like any other.
+func TestNoColdBudget(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"no multiple": func(s *Settings) { s.TipMultiple = 0 },
+		"no time":     func(s *Settings) { s.TipFor = 0 },
+	} {
+		set := settings()
+		change(&set)
+		b := newBed(t, set, Worker{ID: "w0", State: Ready, Weight: 1, Started: time.Hour - time.Second})
+		for i := range 5 {
+			acts := b.step(beat, call(fmt.Sprint("r", i), "f"))
+			if len(only[Send](acts)) != 1 {
+				t.Fatalf("%s: call %d is not sent", name, i)
+			}
+			b.step(0, end(only[Send](acts)[0], 0, Served))
+		}
+	}
+}
+
 func TestNewStartIsEmpty(t *testing.T) {
 	b := newBed(t, settings(), fleet(2)...)
 	s := b.send("a", "f")
--- a/rules.go
+++ b/rules.go
@@ -49,22 +49,22 @@
 	return n > 0 && q.attempts[n-1].w == w && !q.attempts[n-1].proved
 }
 
-// coldRoom keeps a cold worker's budget: in each window that could tip it, this scheduler sends no more than
-// its share of what the worker can do, guessed from what warm workers answer this scheduler. Where all are
-// cold it is guessed from what they answer themselves, as ripe as they are: together all schedulers never
-// send more than a multiple, below the one that tips, of what was answered. It begins at one call at a time,
-// answered within the least aim.
+// coldRoom keeps a cold worker's budget, where one is told: in each window that could tip it, this scheduler
+// sends no more than its share of what the worker can do, guessed from what warm workers answer it.
+// Where all are cold it is guessed from what they answer themselves, as ripe as they are: together all
+// schedulers never send more than a multiple, below the one that tips, of what was answered. It begins at one
+// call at a time, answered within the least aim.
 func (r *Router) coldRoom(w *worker) bool {
-	if !r.isCold(w) || r.set.TipMultiple == 0 || r.set.TipFor == 0 { // none falls over where none is told to
+	if !r.isCold(w) || r.set.TipMultiple == 0 || r.set.TipFor == 0 {
 		return true
 	}
+	rate, span := float64(r.perWeight), r.set.TipFor
+	if r.allCold {
+		rate, span = max(rate, 1/r.leastAim/float64(r.set.Schedulers)), min(span, time.Second)
+	}
 	if r.now >= w.quotaTill {
 		// Shares under one call would add up if rounded: each scheduler draws whether it has one, and
 		// what it leaves unused lapses, or all savings could come at once.
-		rate, span := float64(r.perWeight), r.set.TipFor
-		if r.allCold {
-			rate, span = max(rate, 1/r.leastAim/float64(r.set.Schedulers)), min(span, time.Second)
-		}
 		budget := coldMargin * r.set.TipMultiple * span.Seconds() * r.ripeness(w) * w.Weight * rate
 		// Most such draws are lost on workers that nothing is for just then. While calls come as usual one is
 		// let through by chance, so that a worker that is called coldEven times as much as others bears it,
@@ -75,7 +75,9 @@
 		w.quota = int(max(budget, min(chance, 1)) + r.rng.Float64())
 		w.quotaTill = r.now + span
 	}
-	return w.quota > 0
+	// Any window counts, wherever it begins, and what waited for a connection comes close to what follows.
+	w.sentCold = slices.DeleteFunc(w.sentCold, func(at time.Duration) bool { return r.now-at >= span+span/8 })
+	return len(w.sentCold) < w.quota
 }
 
 // ripeness is the share of its capacity that a worker can be counted on for.
@@ -118,7 +120,7 @@
 		r.outWork += a.cost
 	}
 	if r.isCold(w) {
-		w.quota--
+		w.sentCold = append(w.sentCold, r.now)
 	}
 	if w.suspect {
 		w.tries++
--- a/state.go
+++ b/state.go
@@ -59,9 +59,10 @@
 	breaks            int         // times that connections broke with no answer since
 	brokeAt, seenAt   time.Duration
 	lastAnswer, tryAt time.Duration
-	met               time.Duration // when it answered last; 0 if it never did
-	full, noLoads     time.Duration // it gets nothing new, or no new load, until then
-	quota             int           // calls that it may still be sent while cold, until quotaTill
+	met               time.Duration   // when it answered last; 0 if it never did
+	full, noLoads     time.Duration   // it gets nothing new, or no new load, until then
+	quota             int             // calls that it may be sent in a window while cold, until quotaTill
+	sentCold          []time.Duration // when it was sent those of the latest window
 	quotaTill, goneAt time.Duration
 }
 
