Count the descriptors of dials twice, and write nothing behind a blocked connection

Seen: a dial has two descriptors for a moment, its own and gnet's, until the loop has taken it up. Dials wait for descriptors now (Pool.queued), and count two each; 24 are kept for the rest.

Seen in reading: at the bound on connections only resting connections of the same worker made room, so a worker without any was called unreached, and so suspect, though others' connections rested. The one of all that rested longest makes room.

Seen in reading: a request was written to a connection on which something waited to be sent. It then went out whenever the agent read on, after its client had left or its worker begun to drain; "halt" came after it. Such a connection is not picked.

Checked, no fault: idle clients in all places while discovery is down (TestDescriptorsOfIdleClients): it comes back, a new worker is met, clients with requests are served.

--- a/cmd/calicohill/endings_test.go
+++ b/cmd/calicohill/endings_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -292,3 +295,84 @@
 	}
 	s.endsWell()
 }
+
+// Dials that come up all at once, with clients in all places that there are for them, leave descriptors for one more
+// client: without one the event loop would end.
+func TestDescriptorsOfDials(t *testing.T) {
+	s := newSite(t)
+	s.sockets = 66
+	s.settings = [][2]string{{`"connectTimeoutMs":250`, `"connectTimeoutMs":6000`}}
+	var targets []string
+	var open []func()
+	for i := range 40 {
+		a, up := newLateAgent(t, echo)
+		targets, open = append(targets, fmt.Sprintf("w%d SERVING %s", i, a.addr)), append(open, up)
+	}
+	s.tell(true, targets...)
+	s.start()
+	asks := s.front()
+	for id := uint16(1); id <= 30; id++ { // each for a worker that none of the others is at
+		q := call("consulta", "x", [2]string{"HTTP_BUDGET_MS", "8000"})
+		q.id, q.params[4][1] = id, fmt.Sprintf("%016x", uint64(id)*0x9e3779b97f4a7c15)
+		asks.send(q)
+	}
+	time.Sleep(200 * time.Millisecond) // the dials are under way, and none can come up
+	var idle []*front
+	s.stopped(func() {
+		for range 60 {
+			idle = append(idle, s.front())
+		}
+		for _, up := range open {
+			up()
+		}
+		time.Sleep(1500 * time.Millisecond) // the connections come up
+	})
+	for range 30 {
+		asks.read()
+	}
+	f := s.front()
+	f.send(call("consulta", "after"))
+	if got := f.read(); got.body != "re:after" {
+		t.Errorf("status %d for a client that came then", got.status)
+	}
+	if text := s.log.String(); strings.Contains(text, "too many open files") {
+		t.Error("the program ran out of descriptors")
+	}
+}
+
+// Idle clients that take all places they can get, while discovery is down, keep neither the program from discovery
+// and new workers once it is back, nor others from being served.
+func TestDescriptorsOfIdleClients(t *testing.T) {
+	a, b := newAgent(t, named("a")), newAgent(t, named("b"))
+	s := newSite(t)
+	s.sockets = 90
+	s.tell(true, "a SERVING "+a.addr)
+	s.start()
+	serves(t, s, "a")
+	down := s.bulletin
+	at := down.Listener.Addr().String()
+	down.CloseClientConnections()
+	down.Listener.Close()
+	until(t, "discovery is missed", func() bool { return strings.Contains(s.log.String(), "bulletin not heard") })
+	for range 200 {
+		s.front()
+	}
+	serves(t, s, "a")
+	for range 60 {
+		s.front()
+	}
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.bulletin = &httptest.Server{Listener: l, Config: &http.Server{Handler: http.HandlerFunc(s.poll)}}
+	s.bulletin.Start()
+	s.told(false, "a DELETED "+a.addr, "b SERVING "+b.addr)
+	for range 60 {
+		s.front()
+	}
+	serves(t, s, "b")
+	if strings.Contains(s.log.String(), "too many open files") {
+		t.Error("the program ran out of descriptors")
+	}
+}
--- a/cmd/calicohill/rig_test.go
+++ b/cmd/calicohill/rig_test.go
@@ -36,6 +36,12 @@
 				os.Exit(3)
 			}
 		}
+		if n, err := strconv.ParseUint(os.Getenv("CALICOHILL_FILES"), 10, 31); err == nil {
+			if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: n, Max: n}); err != nil {
+				fmt.Fprintln(os.Stderr, "descriptors:", err)
+				os.Exit(3)
+			}
+		}
 		main()
 		os.Exit(0)
 	}
@@ -230,6 +236,8 @@
 	s.config = filepath.Join(s.t.TempDir(), "config.json")
 	s.configure()
 	s.cmd, s.log = program(s.t, "-config", s.config, "--operator", s.operator)
+	// As the platform does: it may hold no more than it is told.
+	s.cmd.Env = append(s.cmd.Env, "CALICOHILL_FILES="+strconv.Itoa(s.sockets))
 	if err := s.cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -45,6 +45,10 @@
 	lookEvery = 50 * time.Millisecond
 	// sentIn is how long after the last answer was written clients may take to read it.
 	sentIn = 3 * time.Second
+	// otherFiles is how many descriptors go to neither clients nor workers: the runtime's, the loop's and the listener's,
+	// the bulletin's connections and their dials, a file that is read, and a client that is let in before another
+	// makes room.
+	otherFiles = 24
 	// leastAnswer and mostAnswer are the bounds of the longest answer that is taken from a worker, in bytes.
 	leastAnswer, mostAnswer = 64 << 10, 1 << 20
 )
@@ -132,9 +136,7 @@
 	d := dispatch.New(l, router, pool, cfg.Site.MaxOpen)
 	agents := agent.New(l, d, agent.Options{Classes: cfg.Site.ClassNames, Streams: cfg.Site.Streams,
 		Schedulers: cfg.Site.Schedulers, IdleClose: cfg.Site.IdleClose, ConnectTimeout: cfg.Site.ConnectTimeout,
-		// gnet ends its loop when a connection cannot be accepted for want of descriptors: another third
-		// stays free for dials under way, the bulletin and the runtime.
-		MaxConns: cfg.Sockets / 3,
+		MaxConns: cfg.Sockets / 3, MaxFiles: max(cfg.Sockets-clients-otherFiles, cfg.Sockets/3+2),
 		// Even if every connection had an answer coming that never ends, a quarter of the memory is enough.
 		MaxAnswer: min(max(cfg.MemoryMB<<20/4/(cfg.Sockets/3), leastAnswer), mostAnswer)}, parts.Part("agent"))
 	d.Use(agents)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -76,6 +76,7 @@
 	IdleClose      time.Duration
 	ConnectTimeout time.Duration
 	MaxConns       int // connections to all workers
+	MaxFiles       int // descriptors for those, and for the dials: each has two for a moment
 	MaxAnswer      int // the longest body of an answer, in bytes
 	Schedulers     int // that share the workers
 }
@@ -90,6 +91,7 @@
 	sent    map[slot.Ref]*job
 	conns   slot.Table[*conn]
 	dialing int
+	queued  []*worker // that are dialed once there are descriptors for it
 	wear    wear
 	fresh   time.Duration // how long a connection may rest and be used again; 0 means any time
 	probes  uint64
@@ -268,7 +270,9 @@
 func (p *Pool) pick(j *job) (best *conn, usable int) {
 	now := p.loop.Now()
 	for _, c := range j.w.conns {
-		if c.retired || c.partial || len(c.out) >= p.opt.Streams || c.silent(now) ||
+		// What waits here to be sent on a connection can't be taken back: by the time that it goes its client may
+		// have left, or its worker drain.
+		if c.retired || c.partial || len(c.out) >= p.opt.Streams || c.silent(now) || c.c.OutboundBuffered() > 0 ||
 			p.fresh > 0 && len(c.out) == 0 && c.rested(now) >= p.fresh {
 			continue
 		}
@@ -306,18 +310,38 @@
 	return false
 }
 
-// evict makes room for a dial by closing a worker's connection that nobody waits on any more.
+// evict makes room for a dial by closing a connection that nobody waits on: one of the worker's if it has as many as
+// may be, else the one of all that has rested longest.
 func (p *Pool) evict(w *worker) bool {
-	for _, c := range w.conns {
-		if len(c.out) == 0 {
-			c.close()
-			return true
+	from := maps.Values(p.workers)
+	if len(w.conns)+w.dialing >= perWorker {
+		from = slices.Values([]*worker{w})
+	}
+	var longest *conn
+	for w := range from {
+		for _, c := range w.conns {
+			if len(c.out) == 0 && (longest == nil || max(c.written, c.heard) < max(longest.written, longest.heard)) {
+				longest = c
+			}
 		}
 	}
-	return false
+	if longest == nil {
+		return false
+	}
+	longest.close()
+	return true
 }
 
+// dial makes a connection to a worker, as soon as there are descriptors for it.
+//
+// Guards against a program that has no descriptor left: gnet ends its loop when it can't accept a client.
 func (p *Pool) dial(w *worker) {
+	if p.conns.Len()+2*(p.dialing+1) > p.opt.MaxFiles {
+		if !slices.Contains(p.queued, w) {
+			p.queued = append(p.queued, w)
+		}
+		return
+	}
 	w.dialing++
 	p.dialing++
 	c := &conn{pool: p, w: w, out: map[string]*job{}, spent: map[string]time.Duration{}}
@@ -329,9 +353,21 @@
 		if w.dialing == 0 {
 			p.failWaiting(w, calicohill.Unreached)
 		}
+		p.dialQueued()
 	})
 }
 
+// dialQueued makes the connections that waited for descriptors, as far as they are still needed.
+func (p *Pool) dialQueued() {
+	for len(p.queued) > 0 && p.conns.Len()+2*(p.dialing+1) <= p.opt.MaxFiles {
+		w := p.queued[0]
+		p.queued = p.queued[1:]
+		if len(w.waiting) > 0 && w.dialing == 0 {
+			p.dial(w)
+		}
+	}
+}
+
 // forget takes a job out of whatever holds it and reports whether any of it was written.
 func (p *Pool) forget(j *job) bool {
 	if j.c != nil {
@@ -400,6 +436,7 @@
 	w.conns = append(w.conns, c)
 	c.idle.Fire, c.due.Fire = c.idled, c.cutShort
 	p.loop.At(&c.idle, c.heard+p.idleAfter())
+	defer p.dialQueued()
 	if w.state == calicohill.Gone {
 		c.close()
 		return
@@ -476,25 +513,22 @@
 		b = appendGo(b, &j.Attempt, p.opt.Classes[j.Class])
 	}
 	p.scratch = b
-	if c.c.OutboundBuffered() == 0 {
-		// The peer may have closed already. An error of this write means that none of it has left.
-		delete(c.out, j.ID)
-		switch n, err := c.c.Write(b); {
-		case err == nil:
-			c.out[j.ID] = j
-		case n == 0:
-			// The peer may be well: connections are reset at any time. Another one shows.
-			if j.c, j.tries = nil, j.tries+1; j.tries < writeTries {
-				p.start(j)
-				return
-			}
-			p.finish(j, dispatch.End{Outcome: calicohill.Unreached, Company: -1})
-		default:
-			p.finish(j, dispatch.End{Outcome: calicohill.Reset, Company: -1})
+	// The peer may have closed already. Nothing waits to be sent before this, so that an error of this write means that
+	// none of it has left.
+	delete(c.out, j.ID)
+	switch n, err := c.c.Write(b); {
+	case err == nil:
+		c.out[j.ID] = j
+	case n == 0:
+		// The peer may be well: connections are reset at any time. Another one shows.
+		if j.c, j.tries = nil, j.tries+1; j.tries < writeTries {
+			p.start(j)
+			return
 		}
-		return
+		p.finish(j, dispatch.End{Outcome: calicohill.Unreached, Company: -1})
+	default:
+		p.finish(j, dispatch.End{Outcome: calicohill.Reset, Company: -1})
 	}
-	c.send(b)
 }
 
 // appendGo adds the command that begins an attempt.
@@ -642,4 +676,5 @@
 		}
 		p.log.WithError(err).WithFields(logrus.Fields{"worker": w.id, "lost": lost}).Warn("agent connection lost")
 	}
+	p.dialQueued()
 }
