Force crossings of leaving, removal, closes, time-outs and reloads over sockets

No fault was found in these; each ordering is forced by what the peers hold back or by stopping the program, not by luck: a client that leaves while a further attempt dials or while its request is held, an answer that crosses the drain and the removal of its worker, a worker's close of a resting connection that crosses a request (both orders, with certificado), an answer after its time, a reload without a class or with another effect for it, a start without a list.

--- a/cmd/calicohill/endings_test.go
+++ b/cmd/calicohill/endings_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -376,3 +377,210 @@
 		t.Error("the program ran out of descriptors")
 	}
 }
+
+// A further attempt whose client leaves while the connection for it is being made begins no more than a first one does.
+func TestLeftWhileTriedAgain(t *testing.T) {
+	breaks := make(chan struct{})
+	first := newAgent(t, func(int, goLine) string { <-breaks; return hangUp })
+	a, open := newLateAgent(t, echo)
+	s := newSite(t)
+	s.settings = [][2]string{{`"connectTimeoutMs":250`, `"connectTimeoutMs":4000`}}
+	s.tell(true, "first SERVING "+first.addr)
+	f := s.start().front()
+	f.send(call("consulta", "gone"))
+	until(t, "the request is at the first worker", func() bool { return len(first.had()) == 1 })
+	s.told(false, "late SERVING "+a.addr, "first DRAINING "+first.addr)
+	stays := s.front()
+	stays.send(call("consulta", "stays"))
+	close(breaks)
+	time.Sleep(100 * time.Millisecond)
+	f.c.Close()
+	open()
+	if got := stays.read(); got.body != "re:stays" {
+		t.Errorf("the client that stayed got status %d", got.status)
+	}
+	if had := a.had(); len(had) != 1 {
+		t.Errorf("the worker had %v, want the request of the client that stayed alone", had)
+	}
+}
+
+// A request that waits for room is not sent when its client has left, whichever way it left.
+func TestLeftWhileHeld(t *testing.T) {
+	release := make(chan struct{})
+	s, a := one(t, func(n int, g goLine) string { <-release; return echo(n, g) })
+	first, cancels, closes, stays := s.front(), s.front(), s.front(), s.front()
+	one := [2]string{"HTTP_X_SPEC", "lanes:1"} // a copy that runs one at a time, and is taken
+	first.send(call("consulta", "first", one))
+	until(t, "the first is at the worker", func() bool { return len(a.had()) == 1 })
+	q := call("consulta", "gone", one)
+	cancels.send(q)
+	closes.send(call("consulta", "gone", one))
+	stays.send(call("consulta", "stays", one))
+	time.Sleep(50 * time.Millisecond)
+	cancels.write(rec(2, q.id, 0, ""))
+	cancels.read()
+	closes.c.Close()
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	for f, want := range map[*front]string{first: "re:first", stays: "re:stays"} {
+		if got := f.read(); got.body != want {
+			t.Errorf("status %d, %q, want %q", got.status, got.body, want)
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, g := range a.had() {
+		if g.body == "gone" {
+			t.Error("a request was sent on after its client had left")
+		}
+	}
+}
+
+// The answer of a worker that is removed meanwhile is passed on, and so is that of one which begins to drain.
+func TestAnswerCrossesRemoval(t *testing.T) {
+	release := make(chan struct{})
+	a := newAgent(t, func(n int, g goLine) string { <-release; return echo(n, g) })
+	b := newAgent(t, named("b"))
+	s := newSite(t)
+	s.tell(true, "a SERVING "+a.addr)
+	f := s.start().front()
+	f.send(call("certificado", "x"))
+	until(t, "the request is at the worker", func() bool { return len(a.had()) == 1 })
+	s.told(false, "a DRAINING "+a.addr, "b SERVING "+b.addr)
+	s.told(false, "a DELETED "+a.addr)
+	s.told(true, "b SERVING "+b.addr)
+	close(release)
+	if got := f.read(); got.body != "re:x" {
+		t.Errorf("status %d, %q, want the answer of the worker that was removed", got.status, got.body)
+	}
+	serves(t, s, "b")
+}
+
+// A worker's close of a connection at rest, and a request that would go on it, are both there when the program looks:
+// the request goes on another, in whichever order they came. It may not be repeated, so that a loss would show.
+func TestCloseCrossesRequest(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after bool // the close comes after the request
+	}{{"close first", false}, {"request first", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			s, a := one(t, echo)
+			f := s.front()
+			f.send(call("certificado", "first"))
+			f.read()
+			s.stopped(func() {
+				if !c.after {
+					a.closeAll()
+				}
+				f.send(call("certificado", "x"))
+				if c.after {
+					a.closeAll()
+				}
+				time.Sleep(50 * time.Millisecond)
+			})
+			if got := f.read(); got.body != "re:x" {
+				t.Errorf("status %d, %q, want it served on another connection", got.status, got.body)
+			}
+		})
+	}
+}
+
+// An answer that comes when its request's time is over is nobody's: its client had one answer, and the next request on
+// that connection gets its own.
+func TestAnswerAfterItsTime(t *testing.T) {
+	release := make(chan struct{})
+	s, a := one(t, func(n int, g goLine) string {
+		if n == 1 {
+			<-release
+		}
+		return echo(n, g)
+	})
+	f := s.front()
+	f.send(call("certificado", "late", [2]string{"HTTP_BUDGET_MS", "300"}))
+	if got := f.read(); got.status != 502 {
+		t.Errorf("status %d when its time was over, want a failure: it may have run", got.status)
+	}
+	close(release)
+	for _, body := range []string{"a", "b", "c"} {
+		f.send(call("certificado", body))
+		if got := f.read(); got.body != "re:"+body {
+			t.Errorf("status %d, %q, want the answer to %q", got.status, got.body, body)
+		}
+	}
+	if had := a.had(); len(had) != 4 {
+		t.Errorf("the worker had %d requests, want 4", len(had))
+	}
+}
+
+// A new configuration without a class, or with other figures for it, does nothing to requests under way or to those
+// that come: the settings that a scheduler runs with are those of its start.
+func TestReloadWithoutAClass(t *testing.T) {
+	release := make(chan struct{})
+	s, a := one(t, func(n int, g goLine) string {
+		if n == 1 {
+			<-release
+		}
+		return echo(n, g)
+	})
+	f := s.front()
+	f.send(call("certificado", "out"))
+	until(t, "the request is at the worker", func() bool { return len(a.had()) == 1 })
+	s.settings = [][2]string{{`"name":"certificado"`, `"name":"other"`}, {`"effect":"non_idempotent"`, `"effect":"read_like"`},
+		{`"hardLimitMs":3000`, `"hardLimitMs":30`}}
+	s.configure()
+	if err := s.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the configuration is read", func() bool { return strings.Contains(s.log.String(), "configuration read again") })
+	close(release)
+	if got := f.read(); got.body != "re:out" {
+		t.Errorf("status %d for the request under way", got.status)
+	}
+	for class, want := range map[string]int{"certificado": 200, "consulta": 200, "other": 400} {
+		f.send(call(class, "x"))
+		if got := f.read(); got.status != want {
+			t.Errorf("status %d for class %s, want %d", got.status, class, want)
+		}
+	}
+}
+
+// A scheduler that has no list yet is not ready, refuses what comes while its client can still go elsewhere, ends when
+// it is told to, and serves as soon as it has one.
+func TestBeforeTheFirstList(t *testing.T) {
+	a := newAgent(t, echo)
+	for _, c := range []struct {
+		name  string
+		ended bool
+	}{{"serves when it has one", false}, {"ends without", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t)
+			s.launch()
+			var f *front
+			until(t, "the program listens", func() bool {
+				conn, err := net.Dial("tcp", s.addr)
+				if err == nil {
+					f = &front{t: t, c: conn, r: bufio.NewReader(conn)}
+				}
+				return err == nil
+			})
+			defer f.c.Close()
+			for path, q := range map[string]request{"health": {id: 1, params: [][2]string{{"SCRIPT_NAME", "/health"}}}, "a request": call("certificado", "x", [2]string{"HTTP_BUDGET_MS", "400"})} {
+				f.send(q)
+				if got := f.read(); got.status != 503 {
+					t.Errorf("status %d for %s without a list, want 503", got.status, path)
+				}
+			}
+			if c.ended {
+				if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+					t.Fatal(err)
+				}
+				s.endsWell()
+				return
+			}
+			s.told(true, "a SERVING "+a.addr)
+			f.send(call("certificado", "x"))
+			if got := f.read(); got.body != "re:x" {
+				t.Errorf("status %d once it has a list", got.status)
+			}
+		})
+	}
+}
--- a/cmd/calicohill/rig_test.go
+++ b/cmd/calicohill/rig_test.go
@@ -222,8 +222,8 @@
 	}
 }
 
-// start runs the program with the events told so far, and waits until it is healthy.
-func (s *site) start() *site {
+// launch runs the program with the events told so far.
+func (s *site) launch() {
 	s.t.Helper()
 	if s.addr == "" {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -247,6 +247,12 @@
 		s.started = true
 		s.t.Cleanup(s.stop)
 	}
+}
+
+// start runs the program with the events told so far, and waits until it is healthy.
+func (s *site) start() *site {
+	s.t.Helper()
+	s.launch()
 	for end := time.Now().Add(patient); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if c, err := net.Dial("tcp", s.addr); err == nil {
 			f := &front{t: s.t, c: c, r: bufio.NewReader(c)}
@@ -314,6 +320,7 @@
 	halted []string
 	conns  int
 	closed int
+	open   map[net.Conn]bool
 }
 
 // hangUp is a reply that resets the connection.
@@ -375,10 +382,26 @@
 	}
 }
 
+// closeAll closes all connections.
+func (a *nodeAgent) closeAll() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.open {
+		c.Close()
+	}
+}
+
 func (a *nodeAgent) serve(c net.Conn, number int) {
+	a.mu.Lock()
+	if a.open == nil {
+		a.open = map[net.Conn]bool{}
+	}
+	a.open[c] = true
+	a.mu.Unlock()
 	defer func() {
 		c.Close()
 		a.mu.Lock()
+		delete(a.open, c)
 		a.closed++
 		a.mu.Unlock()
 	}()
