Read the list from its beginning where events are left out of an answer

Seen in reading: Watch.apply took an event whose number leaves some out, and an answer's "no" beyond its last event, and never asked for what lay between. If a drain was among them its worker was sent to for good (TestEventsLeftOut/once, without the change: a goes on serving). The list is read from its beginning now, once for a number: a service that does not have the events any more is taken as it is.

Seen in reading, for connections of which some come up late or never: a dial that failed beside a connection took along what could go on that one by then (agent.dial), and the Router took the worker for dead, all that it believed of it void, though it had answered on the other meanwhile (learn.go, Unreached). Both ask first: TestDialFailsBesideAConnection, TestOneConnectionThatNeverComesUp fail without.

--- a/cmd/calicohill/endings_test.go
+++ b/cmd/calicohill/endings_test.go
@@ -584,3 +584,37 @@
 		})
 	}
 }
+
+// Events that an answer leaves out may say who drains: the list is read from its beginning. A service that does not
+// have them any more is taken as it is.
+func TestEventsLeftOut(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		never bool // the service never brings them
+	}{{"once", false}, {"for good", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			a, b := newAgent(t, named("a")), newAgent(t, named("b"))
+			s := newSite(t)
+			s.tell(true, "a SERVING "+a.addr)
+			s.start()
+			serves(t, s, "a")
+			s.mu.Lock()
+			skips := func(w http.ResponseWriter) { fmt.Fprintf(w, `{"no":3,"items":[%s]}`, s.events[2]) }
+			s.spoiled = append(s.spoiled, skips)
+			if c.never {
+				s.spoiled = append(s.spoiled, skips)
+			}
+			held := s.changed
+			s.events = append(s.events, fmt.Sprintf(`{"no":2,"roster":{"rev":1,"all":false,"targets":[{"uid":"a","state":"DRAINING","endpoint":%q}]}}`, a.addr))
+			s.events = append(s.events, fmt.Sprintf(`{"no":3,"roster":{"rev":1,"all":false,"targets":[{"uid":"b","state":"SERVING","endpoint":%q}]}}`, b.addr))
+			s.changed = make(chan struct{})
+			s.mu.Unlock()
+			close(held)
+			until(t, "the last event is known", func() bool { return strings.Contains(s.log.String(), "event=3 ") })
+			if c.never {
+				s.tell(false, "a DRAINING "+a.addr) // what comes after them is heard
+			}
+			serves(t, s, "b")
+		})
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -351,12 +351,29 @@
 		w.alone = p.loop.Now() + aloneFor
 		p.log.WithError(err).WithField("worker", w.id).Warn("agent not reached")
 		if w.dialing == 0 {
+			p.writeWaiting(w) // others may have come free meanwhile
 			p.failWaiting(w, calicohill.Unreached)
 		}
 		p.dialQueued()
 	})
 }
 
+// writeWaiting writes what waits for a connection to a worker, as far as there is one for it.
+func (p *Pool) writeWaiting(w *worker) {
+	waiting := w.waiting
+	w.waiting = nil
+	for _, j := range waiting {
+		// While it waited its request may have been answered, or its worker begun to drain.
+		if !j.probe && !p.sink.May(j.Ref) {
+			p.finish(j, dispatch.End{Outcome: calicohill.Unsent, Company: -1})
+		} else if pick, _ := p.pick(j); pick != nil {
+			pick.write(j)
+		} else {
+			w.waiting = append(w.waiting, j)
+		}
+	}
+}
+
 // dialQueued makes the connections that waited for descriptors, as far as they are still needed.
 func (p *Pool) dialQueued() {
 	for len(p.queued) > 0 && p.conns.Len()+2*(p.dialing+1) <= p.opt.MaxFiles {
@@ -441,18 +458,7 @@
 		c.close()
 		return
 	}
-	waiting := w.waiting
-	w.waiting = nil
-	for _, j := range waiting {
-		// While it waited its request may have been answered, or its worker begun to drain.
-		if !j.probe && !p.sink.May(j.Ref) {
-			p.finish(j, dispatch.End{Outcome: calicohill.Unsent, Company: -1})
-		} else if pick, _ := p.pick(j); pick != nil {
-			pick.write(j)
-		} else {
-			w.waiting = append(w.waiting, j)
-		}
-	}
+	p.writeWaiting(w)
 	if len(w.waiting) > 0 && w.dialing == 0 {
 		p.dial(w)
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -176,3 +176,22 @@
 		}
 	}
 }
+
+// A dial that fails takes along what could not go elsewhere meanwhile, and nothing else.
+func TestDialFailsBesideAConnection(t *testing.T) {
+	p, l, sink := newPool(Options{MaxConns: 10, MaxFiles: 30}, "a")
+	p.Send(attempt(1, "a"))
+	first := l.up()
+	first.blocked = true
+	first.kept.WriteString("x") // it takes nothing for a while
+	p.Send(attempt(2, "a"))
+	if len(l.dials) != 1 {
+		t.Fatalf("%d dials, want one for what can't be written", len(l.dials))
+	}
+	first.blocked = false
+	first.kept.Reset()
+	l.dials[0].failed(errors.New("late"))
+	if !strings.Contains(first.sent.String(), "go "+attempt(2, "a").ID) || len(sink) != 0 {
+		t.Errorf("sent %q, ends %v, want it on the connection that there is", first.sent.String(), sink)
+	}
+}
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -102,6 +102,7 @@
 	list  map[string]target // kept for Changed
 	last  int               // number of the last event
 	bad   int               // number of an event that made no sense
+	gap   int               // up to this number what is left out is not to be had
 	core  *polling.Core
 	conns map[int]*conn // by the core's number
 	down  bool          // the last poll failed, and that was logged
@@ -152,6 +153,9 @@
 
 // Start hands on the events known already and begins to poll.
 func (w *Watch) Start() {
+	if n := len(w.known.Items); n > 0 { // if some are left out of these, nobody has them
+		w.gap = w.known.Items[n-1].No
+	}
 	if err := w.apply(&w.known); err != nil {
 		w.log.WithError(err).Error("known events") // New has read them once
 	}
@@ -265,7 +269,8 @@
 }
 
 // apply hands on events, in order and each once. One that makes no sense is asked for again, and read as far as
-// it goes if it comes the same: later ones may say who drains.
+// it goes if it comes the same: later ones may say who drains. Where some are left out, who drains may be in those: the
+// list is read from its beginning, once.
 func (w *Watch) apply(f *Feed) error {
 	before := w.last
 	defer func() {
@@ -277,6 +282,11 @@
 		if e.No <= w.last {
 			continue
 		}
+		if w.last > 0 && e.No > w.last+1 && e.No > w.gap && (e.Roster == nil || !e.Roster.All) {
+			w.log.WithFields(logrus.Fields{"event": e.No, "known": w.last}).Warn("events left out: the list is read from its beginning")
+			w.gap, w.last = e.No, 0
+			return nil
+		}
 		if e.Roster != nil {
 			r, err := e.read(w.zones, w.kinds, w.bad == e.No)
 			if err != nil {
@@ -292,7 +302,9 @@
 		}
 		w.last = e.No
 	}
-	w.last = max(w.last, f.No)
+	if len(f.Items) == 0 { // else what the answer does not bring is asked for next
+		w.last = max(w.last, f.No)
+	}
 	return nil
 }
 
@@ -333,7 +345,7 @@
 	if err == nil && n == 0 {
 		return nil
 	}
-	before, old := w.last, w.old
+	before := w.last
 	if err == nil {
 		err = w.take(body)
 	}
@@ -351,7 +363,7 @@
 		w.log.Info("bulletin heard again")
 	}
 	w.step(polling.Answered{Conn: c.n, News: w.last > before, Last: last})
-	if old && w.last < before {
+	if w.last < before { // it is read from its beginning
 		w.step(polling.Stalled{})
 	}
 	return nil
--- a/learn.go
+++ b/learn.go
@@ -69,10 +69,13 @@
 			r.observe(w, Unreachable, r.now)
 		}
 	case Unreached:
-		// The process died or cannot be reached: what it held is gone with it.
-		w.life++
-		r.doubt(w)
-		r.observe(w, Unreachable, r.now)
+		// The process died or cannot be reached: what it held is gone with it. One that answered meanwhile is
+		// well: of many connections some never come up.
+		if w.lastAnswer <= a.sent {
+			w.life++
+			r.doubt(w)
+			r.observe(w, Unreachable, r.now)
+		}
 	}
 	switch {
 	case e.Closed || q.done:
--- a/router_test.go
+++ b/router_test.go
@@ -675,6 +675,23 @@
 }
 
 // A refused cold call pauses the worker for new loads, not at once trying the same one again.
+// A connection that does not come up says nothing of a worker that answered on another meanwhile.
+func TestOneConnectionThatNeverComesUp(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		b := newBed(t, settings(), ready("w0", 0))
+		first := b.send("a", "f")
+		second := b.send("b", "g")
+		if answered {
+			b.step(100*ms, end(first, 0, Served))
+		}
+		b.step(100*ms, end(second, 0, Unreached))
+		w := b.r.workers["w0"]
+		if w.suspect == answered || (w.life == 0) != answered {
+			t.Errorf("answered meanwhile %v: suspect %v, life %d", answered, w.suspect, w.life)
+		}
+	}
+}
+
 func TestPauseAfterTurningAway(t *testing.T) {
 	b := newBed(t, settings(), fleet(1)...)
 	s := b.send("a", "f")
