Draw the next ask's time from the grace that drains have, not from one of a second

Cause: a scheduler of a fleet that was just answered, or has just started, asks again at a time that it draws from 0.7 s, and one whose answer brought nothing 0.5 s after its ask. What is told meanwhile counts as told.

Change: polling.New takes the grace; 0.7 and 0.5 of it are the most. With 1 s nothing changes. TestWellToldInTime plays 1 s, 0.3 s and 0.1 s; it fails without the change at 0.3 s.

--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -159,7 +159,7 @@
 		}
 	}
 	watch, err := bulletin.New(l, cfg.Bulletin, cfg.Known, cfg.Site.Zones, cfg.Site.Kinds,
-		polling.New(cfg.Site.Schedulers, cfg.Seed), list, parts.Part("bulletin"))
+		polling.New(cfg.Site.Schedulers, cfg.Site.DrainGrace, cfg.Seed), list, parts.Part("bulletin"))
 	if err != nil {
 		return fmt.Errorf("configuration %s: %w", from.config, err)
 	}
--- a/internal/lab/asks.go
+++ b/internal/lab/asks.go
@@ -34,12 +34,12 @@
 // trip is how long a message takes in virtual time.
 const trip = time.Millisecond
 
-// NewAsks is a fleet that begins at one o'clock. With listed each has the first event.
-func NewAsks(schedulers int, seed uint64, listed bool) *Asks {
+// NewAsks is a fleet that begins at one o'clock, and has a grace to heed drains. With listed each has the first event.
+func NewAsks(schedulers int, grace time.Duration, seed uint64, listed bool) *Asks {
 	f := &Asks{Now: time.Hour, Desk: Desk{Mood: Well, Number: 1}}
 	f.look.Fire = f.answer
 	for i := range schedulers {
-		n := &Asker{fleet: f, core: polling.New(schedulers, seed<<20+uint64(i)), conns: map[int]*Inquiry{}}
+		n := &Asker{fleet: f, core: polling.New(schedulers, grace, seed<<20+uint64(i)), conns: map[int]*Inquiry{}}
 		n.wake.Fire = func() { n.step() }
 		f.Nodes = append(f.Nodes, n)
 		if listed {
@@ -202,12 +202,12 @@
 	}
 	for _, n := range sizes {
 		v := VirtualAsks{Schedulers: n, Even: float64(n) / 20, Peaks: map[string]int{}}
-		start := NewAsks(n, seed, true)
+		start := NewAsks(n, time.Second, seed, true)
 		start.Run(10 * time.Second)
 		v.Peaks["start"] = Peak(start.Polls, 0)
 		for name, do := range map[string]func(*Asks){"refused 8 s": eight(Refuse), "503 for 8 s": eight(Busy),
 			"silent 8 s": eight(Silent), "broken": (*Asks).Break, "event": (*Asks).Tell} {
-			f := NewAsks(n, seed, true)
+			f := NewAsks(n, time.Second, seed, true)
 			f.Run(10 * time.Second)
 			at := f.Now
 			do(f)
@@ -222,7 +222,7 @@
 
 // crowd plays a start before a service that answers a tenth of what the fleet asks in its 2 s, and has news for all.
 func crowd(n int, seed uint64) (sent, needed int, listed, limit float64) {
-	f := NewAsks(n, seed, true)
+	f := NewAsks(n, time.Second, seed, true)
 	f.Set(Crowded)
 	f.Desk.Rate, f.Desk.Number = float64(n)/20, 2
 	began := f.Now
--- a/internal/polling/polling.go
+++ b/internal/polling/polling.go
@@ -35,15 +35,17 @@
 	window, windowEach = 1900 * time.Millisecond, 20 * time.Millisecond
 	// newsWindow and newsWindowEach are the same where nothing shows that the service is ill: at a start, and when
 	// it has just answered all at once. What it tells next may be a drain, which counts as told whether anybody
-	// asks or not, and has to be heeded within a second.
+	// asks or not, and has to be heeded within a grace that the settings give: no more than newsPart of that passes.
 	newsWindow, newsWindowEach = 700 * time.Millisecond, 3 * time.Millisecond
+	newsPart                   = 0.7
 	// againMin and againMax are the pauses before the next ask where asks fail and nobody else is there.
 	againMin, againMax = 10 * time.Millisecond, 640 * time.Millisecond
 	// heeded is the longest that a service may send a scheduler away for: what it has to tell counts as told 7 s
 	// later.
 	heeded = 4 * time.Second
-	// hasty is how long after an ask the next may be made if the answer brought nothing.
-	hasty = 500 * time.Millisecond
+	// hasty is how long after an ask the next may be made if the answer brought nothing, hastyPart how much of that
+	// grace at the most.
+	hasty, hastyPart = 500 * time.Millisecond, 0.5
 	// blindFor is how long the word of the service is waited for after a stall.
 	blindFor = 250 * time.Millisecond
 	// rate and burst bound the asks of a second, whatever the answers bring.
@@ -121,6 +123,7 @@
 // Core decides for one scheduler.
 type Core struct {
 	window, newsWindow time.Duration
+	hasty              time.Duration
 	patience, grace    time.Duration // of an ask, and after it, while the service may be behind
 	rng                *rand.Rand
 	place              time.Duration // within the window
@@ -136,11 +139,14 @@
 	out                []Action
 }
 
-// New returns a Core of one of so many schedulers. The seed is the scheduler's own.
-func New(schedulers int, seed uint64) *Core {
+// New returns a Core of one of so many schedulers, which have to heed a drain within a grace of when it is told. The
+// seed is the scheduler's own.
+func New(schedulers int, grace time.Duration, seed uint64) *Core {
 	others := time.Duration(max(schedulers, 1) - 1)
-	c := &Core{window: min(window, others*windowEach), newsWindow: min(newsWindow, others*newsWindowEach),
-		slow: true, rng: rand.New(rand.NewPCG(seed, 0x706f6c6c))}
+	part := func(p float64) time.Duration { return time.Duration(p * float64(grace)) }
+	c := &Core{window: min(window, others*windowEach), newsWindow: min(newsWindow, others*newsWindowEach, part(newsPart)),
+		hasty: min(hasty, part(hastyPart)),
+		slow:  true, rng: rand.New(rand.NewPCG(seed, 0x706f6c6c))}
 	c.place = c.within(c.window)
 	c.patience = Patience + (longest-Patience)*c.window/window
 	c.grace = overdue + (longOverdue-overdue)*c.window/window
@@ -266,7 +272,7 @@
 	c.pause = 0
 	next := now
 	if !e.News && a.at < a.till {
-		next = max(now, a.at+hasty)
+		next = max(now, a.at+c.hasty)
 	}
 	if c.inStep = c.inStep || e.News || c.slow; c.inStep && !c.blind {
 		next += c.within(c.newsWindow)
--- a/internal/polling/polling_test.go
+++ b/internal/polling/polling_test.go
@@ -31,7 +31,7 @@
 		{"broken twice", 2 * even(n), func(f *lab.Asks) { f.Break(); f.Run(time.Second); f.Break() }},
 	} {
 		for seed := range uint64(5) {
-			f := lab.NewAsks(n, seed, true)
+			f := lab.NewAsks(n, time.Second, seed, true)
 			f.Run(10 * time.Second)
 			if got := lab.Peak(f.Polls, 0); got > 2*n/10 {
 				t.Errorf("start, seed %d: %d asks within 100 ms", seed, got)
@@ -50,20 +50,22 @@
 }
 
 // What a well service tells counts as told to all, also to those that have just started or are between two asks: each
-// knows it in time to send nothing to a worker that drains later than 1 s after.
+// knows it in time to send nothing to a worker that drains later than the grace after, whatever that is.
 func TestWellToldInTime(t *testing.T) {
-	for seed := range uint64(5) {
-		f := lab.NewAsks(300, seed, true)
-		rng := rand.New(rand.NewPCG(seed, 1))
-		for range 20 {
-			f.Tell()
-			f.Run(800 * time.Millisecond)
-			for i, node := range f.Nodes {
-				if node.Knows != f.Desk.Number {
-					t.Fatalf("seed %d: scheduler %d does not know event %d after 800 ms", seed, i, f.Desk.Number)
+	for _, grace := range []time.Duration{time.Second, 300 * time.Millisecond, 100 * time.Millisecond} {
+		for seed := range uint64(5) {
+			f := lab.NewAsks(300, grace, seed, true)
+			rng := rand.New(rand.NewPCG(seed, 1))
+			for range 20 {
+				f.Tell()
+				f.Run(grace * 8 / 10)
+				for i, node := range f.Nodes {
+					if node.Knows != f.Desk.Number {
+						t.Fatalf("seed %d: scheduler %d does not know event %d after %v", seed, i, f.Desk.Number, grace*8/10)
+					}
 				}
+				f.Run(time.Duration(rng.IntN(3000)) * time.Millisecond)
 			}
-			f.Run(time.Duration(rng.IntN(3000)) * time.Millisecond)
 		}
 	}
 }
@@ -71,7 +73,7 @@
 // An event answers all polls at once. Those that come back for more are spread, and soon nobody is in step.
 func TestNotInStepAfterNews(t *testing.T) {
 	const n = 300
-	f := lab.NewAsks(n, 1, true)
+	f := lab.NewAsks(n, time.Second, 1, true)
 	f.Run(10 * time.Second)
 	f.Tell()
 	at := f.Now
@@ -88,7 +90,7 @@
 // best, and nobody asks much oftener than the 7 s of the protocol demand.
 func TestCrowded(t *testing.T) {
 	const n = 300
-	f := lab.NewAsks(n, 1, true)
+	f := lab.NewAsks(n, time.Second, 1, true)
 	f.Set(lab.Crowded)
 	f.Desk.Rate = n / 20.
 	f.Desk.Number = 2
@@ -114,7 +116,7 @@
 
 // Alone before a well service a scheduler asks as soon as it can: at the start, after each answer, after a break.
 func TestAlone(t *testing.T) {
-	f := lab.NewAsks(1, 1, true)
+	f := lab.NewAsks(1, time.Second, 1, true)
 	start := f.Now
 	f.Run(time.Second)
 	f.Tell()
@@ -148,7 +150,7 @@
 		}, true},
 	} {
 		now := time.Hour
-		core := polling.New(300, 1)
+		core := polling.New(300, time.Second, 1)
 		core.Step(now, polling.Begun{})
 		core.Step(now, polling.Up{Conn: 1})
 		now = c.stop(core, now)
@@ -174,7 +176,7 @@
 // Who has no list asks before all others.
 func TestUnlistedFirst(t *testing.T) {
 	for _, n := range []int{1, 300} {
-		c := polling.New(n, 1)
+		c := polling.New(n, time.Second, 1)
 		if got := c.Step(time.Hour, polling.Begun{}); len(got) != 1 || got[0] != (polling.Dial{Conn: 1}) {
 			t.Errorf("of %d: at its start it does %v", n, got)
 		}
@@ -186,7 +188,7 @@
 func TestBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 30).Draw(t, "schedulers")
-		f := lab.NewAsks(n, rapid.Uint64().Draw(t, "seed"), rapid.Bool().Draw(t, "listed"))
+		f := lab.NewAsks(n, time.Second, rapid.Uint64().Draw(t, "seed"), rapid.Bool().Draw(t, "listed"))
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			switch do := rapid.SampledFrom([]string{"well", "refuse", "silent", "busy", "torn", "break", "tell", "run"}).Draw(t, "do"); do {
 			case "break":
