Have requests that are never whole give up their buffers to those of others

Change: without a buffer left the request that began first, and is not whole, is answered 408 once it has had 0.25 s, the time by which a client that means it has sent the rest.

--- a/cmd/calicohill/endings_test.go
+++ b/cmd/calicohill/endings_test.go
@@ -618,3 +618,31 @@
 		})
 	}
 }
+
+// Requests that are begun on many connections and never whole give up their buffers to those of others.
+func TestHalfRequestsMakeRoom(t *testing.T) {
+	a := newAgent(t, echo)
+	s := newSite(t)
+	s.memoryMB = 12 // 256 buffers
+	s.tell(true, "a SERVING "+a.addr)
+	s.start()
+	asks := func() {
+		t.Helper()
+		f := s.front()
+		f.send(call("consulta", "x"))
+		if got := f.read(); got.body != "re:x" {
+			t.Errorf("status %d, protocol status %d, want it served", got.status, got.proto)
+		}
+	}
+	asks()
+	for range 10 {
+		f := s.front()
+		for id := uint16(1); id <= 32; id++ {
+			q := call("consulta", "half")
+			q.id, q.open = id, true
+			f.send(q)
+		}
+	}
+	time.Sleep(500 * time.Millisecond) // they have 2 s
+	asks()
+}
--- a/internal/fastcgi/server.go
+++ b/internal/fastcgi/server.go
@@ -71,6 +71,8 @@
 	// open, in the order they became idle.
 	silent, idle list.List
 
+	half list.List // requests that are not whole yet, in the order they began
+
 	// Connections on which something may not be sent yet.
 	unsent map[*conn]struct{}
 	heard  time.Duration // when something last came from a client, or a client came
@@ -106,6 +108,8 @@
 	fields       fields
 	call         dispatch.Call
 	named        bool           // the parameters are complete
+	since        time.Duration  // when it began
+	place        *list.Element  // among those that are not whole; nil once it is
 	taken        slot.Ref       // the dispatcher's; 0 until it has the request
 	late         deadline.Entry // for the rest of the request
 }
@@ -402,6 +406,7 @@
 	st := &stream{conn: c, id: r.id, keep: r.content[2]&flagKeepConn != 0}
 	st.ref = s.streams.Put(st)
 	c.streams[r.id] = st
+	st.since, st.place = s.loop.Now(), s.half.PushBack(st)
 	c.sort()
 	if binary.BigEndian.Uint16(r.content) != roleResponder {
 		st.end(appendEnd(s.scratch[:0], r.id, statusUnknownRole))
@@ -409,13 +414,30 @@
 	}
 	st.late.Fire = func() { st.reject(http.StatusRequestTimeout, errors.New("not whole in time")) }
 	s.loop.At(&st.late, s.loop.Now()+wholeWithin)
-	if st.params = s.pool.Get(); st.params == nil || len(c.streams) > maxStreams {
+	if st.params = s.buffer(st); st.params == nil || len(c.streams) > maxStreams {
 		s.complain("request refused: too many are open", nil)
 		st.end(appendEnd(s.scratch[:0], r.id, statusOverloaded))
 	}
 	return nil
 }
 
+// buffer is one of the pool's, or nil.
+//
+// Guards against requests that are begun by the thousand and never whole: until their time is over they would hold all
+// buffers. The one that began first gives way, once it has had as long as a client takes that means it.
+func (s *Server) buffer(asks *stream) *buffer.Buffer {
+	b := s.pool.Get()
+	for e := s.half.Front(); b == nil && e != nil; e = s.half.Front() {
+		st := e.Value.(*stream)
+		if st == asks || s.loop.Now()-st.since < firstWithin {
+			break // those after it are younger
+		}
+		st.reject(http.StatusRequestTimeout, errors.New("not whole when others needed its buffers"))
+		b = s.pool.Get()
+	}
+	return b
+}
+
 func (c *conn) write(b []byte) {
 	if c.c == nil {
 		return
@@ -501,7 +523,7 @@
 	s := st.conn.s
 	if len(b) > 0 {
 		if st.body == nil {
-			if st.body = s.pool.Get(); st.body == nil {
+			if st.body = s.buffer(st); st.body == nil {
 				s.complain("request refused: too many are open", nil)
 				st.end(appendEnd(s.scratch[:0], st.id, statusOverloaded))
 				return
@@ -540,6 +562,7 @@
 		st.reject(http.StatusBadRequest, err)
 	default:
 		st.taken, st.body = ref, nil
+		st.whole()
 		s.loop.Drop(&st.late)
 		st.conn.meet()
 	}
@@ -586,9 +609,18 @@
 	}
 }
 
+// whole notes that nothing more of the request is to come.
+func (st *stream) whole() {
+	if st.place != nil {
+		st.conn.s.half.Remove(st.place)
+		st.place = nil
+	}
+}
+
 // forget gives back what the request holds.
 func (st *stream) forget() {
 	s := st.conn.s
+	st.whole()
 	s.loop.Drop(&st.late)
 	s.streams.Free(st.ref)
 	s.pool.Put(st.params)
