Take a stall for one by the grace that drains have, not from 0.3 s on

With 0.2 s and a stop of 0.27 s between two asks, five of five requests went to a worker that was told to drain at the stop's beginning (TestDrainedDuringAStall, without the change; none with it).

Change: loop.Loop.Stall, from the settings' stopSendingWithinMs: three tenths of it, 0.3 s at most as before, 20 ms at the least.

--- a/cmd/calicohill/endings_test.go
+++ b/cmd/calicohill/endings_test.go
@@ -646,3 +646,27 @@
 	time.Sleep(500 * time.Millisecond) // they have 2 s
 	asks()
 }
+
+// How long a stall may be that does not make the list old hangs on the grace that drains have: a scheduler between two
+// asks that stands still for longer than that grace sends nothing to a worker that was told to drain meanwhile.
+func TestDrainedDuringAStall(t *testing.T) {
+	a, b := newAgent(t, named("a")), newAgent(t, named("b"))
+	s := newSite(t)
+	s.of = 300
+	s.settings = [][2]string{{`"stopSendingWithinMs":1000`, `"stopSendingWithinMs":200`}}
+	s.tell(true, "a SERVING "+a.addr)
+	s.start()
+	serves(t, s, "a")
+	f := s.front()
+	for round := range 5 {
+		s.told(true, "a SERVING "+a.addr) // it has just been answered, and rests before it asks again
+		s.stopped(func() {
+			s.tell(true, "a DRAINING "+a.addr, "b SERVING "+b.addr)
+			f.send(call("consulta", ""))
+			time.Sleep(270 * time.Millisecond)
+		})
+		if got := f.read(); got.body != "b" {
+			t.Errorf("round %d: %q answers 270 ms after a was told to drain, want b", round, got.body)
+		}
+	}
+}
--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -40,6 +40,9 @@
 	drainFor = 700 * time.Millisecond
 	// unfinished is how much longer the rest of a request that has begun to come is waited for.
 	unfinished = time.Second
+	// stallPart is how much of the grace that drains have a stall may take without the list counting as old, leastStall
+	// what is none whatever the grace.
+	stallPart, leastStall = 0.3, 20*time.Millisecond
 	// lookEvery is how often it is seen whether all is answered. Nothing may have come from clients for as long: what
 	// came to their connections during a stall is read one after the other.
 	lookEvery = 50 * time.Millisecond
@@ -217,6 +220,8 @@
 		memory = restore(watch, own.State, l, d, parts.Part("bulletin"))
 	}
 	l.Accept, l.Stalled, watch.Blind = server.Accept, watch.Stalled, d.Blind
+	// What the next ask may wait and a stall that nobody notices pass together before a drain has to be heeded.
+	l.Stall = min(loop.LongestStall, max(leastStall, time.Duration(stallPart*float64(cfg.Site.DrainGrace))))
 	l.Boot = func() {
 		watch.Start()
 		if memory != nil {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -32,6 +32,8 @@
 	// Stalled, if set, is called first of all when the loop did nothing for long though it was due: the process was
 	// stopped, or had no processor.
 	Stalled func()
+	// Stall is how late a deadline has to be noticed for that; New sets the longest that makes sense.
+	Stall time.Duration
 
 	addr      string // that is listened at
 	start     time.Time
@@ -46,13 +48,13 @@
 	err       error
 }
 
-// stall is how late a deadline has to be noticed for that.
-const stall = 300 * time.Millisecond
+// LongestStall is what a Loop has for Stall where nothing asks for less.
+const LongestStall = 300 * time.Millisecond
 
 // New returns a Loop.
 func New() *Loop {
 	now := time.Now()
-	return &Loop{start: now, unix: time.Duration(now.UnixNano())}
+	return &Loop{start: now, unix: time.Duration(now.UnixNano()), Stall: LongestStall}
 }
 
 // Unread is how long ago a connection's latest bytes came in, while they wait to be read; 0 if not known. After a
@@ -123,7 +125,7 @@
 
 // wake begins a turn of the loop.
 func (l *Loop) wake() {
-	if l.armed > 0 && l.Stalled != nil && l.Now() > l.armed+stall {
+	if l.armed > 0 && l.Stalled != nil && l.Now() > l.armed+l.Stall {
 		l.armed = 0
 		l.Stalled()
 	}
