Answer what is open before the platform may end a program that was told to end

Change: 0.2 s before the platform may end the program what is open is given its final answer (Closing): a refusal where a repeat is harmless, so that the client goes elsewhere, a failure where it may not be repeated.

TestAnsweredBeforeTheKill: clients that wait 9 s, three classes; without the change the program ends after 9 s.

--- a/api.go
+++ b/api.go
@@ -141,8 +141,8 @@
 }
 
 // Event is something that a Router is told. The concrete types are WorkerList, Request, StreamStart,
-// AttemptEnd, Abandoned, TimerFired, ProbeEnd, LoadEnd, PeerMessage, PeersHold, PoolsChanged and
-// ListOld.
+// AttemptEnd, Abandoned, TimerFired, ProbeEnd, LoadEnd, PeerMessage, PeersHold, PoolsChanged, ListOld, Recalled
+// and Closing.
 type Event interface{ event() }
 
 // ListKind tells how to read a WorkerList.
@@ -228,6 +228,9 @@
 // PoolsChanged says that some Pool has other workers than before.
 type PoolsChanged struct{}
 
+// Closing says that this scheduler is about to end: what is open gets its final answer now.
+type Closing struct{}
+
 // Outcome says how an attempt, a probe or an order to load ended.
 type Outcome int
 
@@ -359,6 +362,7 @@
 func (PeersHold) event()    {}
 func (PoolsChanged) event() {}
 func (ListOld) event()      {}
+func (Closing) event()      {}
 func (Recalled) event()     {}
 
 // Action is something that a Router asks for, to be done in the order given. The concrete types are Send,
--- a/cmd/calicohill/endings_test.go
+++ b/cmd/calicohill/endings_test.go
@@ -670,3 +670,36 @@
 		}
 	}
 }
+
+// Requests whose clients would wait for longer than the platform does get their final answer before it ends the
+// program: a refusal where a repeat is harmless, a failure where it may not be repeated.
+func TestAnsweredBeforeTheKill(t *testing.T) {
+	a := newAgent(t, func(int, goLine) string { return "" })
+	s := newSite(t)
+	s.settings = [][2]string{{`"hardLimitMs":2500`, `"hardLimitMs":9000`}, {`"hardLimitMs":3000`, `"hardLimitMs":9000`}}
+	s.tell(true, "a SERVING "+a.addr)
+	s.start()
+	want := map[string]int{"consulta": 503, "registro-horas": 503, "certificado": 502}
+	fronts := map[string]*front{}
+	for class := range want {
+		f := s.front()
+		q := call(class, "x")
+		q.params[4][1] = q.param("HTTP_REQUEST_ID") // each of a function of its own, or some would be held
+		f.send(q)
+		fronts[class] = f
+	}
+	until(t, "all are at the worker", func() bool { return len(a.had()) >= len(want) })
+	at := time.Now()
+	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for class, status := range want {
+		if got := fronts[class].read(); got.status != status {
+			t.Errorf("%s: status %d, want %d", class, got.status, status)
+		}
+	}
+	s.endsWell()
+	if took := time.Since(at); took > 3700*time.Millisecond { // SIGKILL comes no sooner
+		t.Errorf("ended %v after SIGTERM", took)
+	}
+}
--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -42,7 +42,10 @@
 	unfinished = time.Second
 	// stallPart is how much of the grace that drains have a stall may take without the list counting as old, leastStall
 	// what is none whatever the grace.
-	stallPart, leastStall = 0.3, 20*time.Millisecond
+	stallPart, leastStall = 0.3, 20 * time.Millisecond
+	// killedAfter is how long after drainFor the platform ends the program at the soonest, or the longest deadline of a
+	// client if that is shorter. What is still open so long before that is given its final answer: nobody could later.
+	killedAfter, closeBefore = 3 * time.Second, 200 * time.Millisecond
 	// lookEvery is how often it is seen whether all is answered. Nothing may have come from clients for as long: what
 	// came to their connections during a stall is read one after the other.
 	lookEvery = 50 * time.Millisecond
@@ -243,7 +246,7 @@
 				if !draining {
 					draining = true
 					log.WithField("signal", s.String()).Info("draining")
-					drain(l, d, server)
+					drain(l, d, server, closeAfter(cfg.Site.Classes))
 				}
 			})
 		})
@@ -333,8 +336,18 @@
 	}
 }
 
-// drain stops the loop once requests have ceased to come, all are answered, and the answers are sent.
-func drain(l *loop.Loop, d *dispatch.Dispatcher, server *fastcgi.Server) {
+// closeAfter is how long after drainFor what is still open is closed.
+func closeAfter(classes []calicohill.Class) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range classes {
+		longest = max(longest, c.Deadline)
+	}
+	return max(min(longest, killedAfter)-closeBefore, 0)
+}
+
+// drain stops the loop once requests have ceased to come, all are answered, and the answers are sent. What is open after
+// a while is answered unserved.
+func drain(l *loop.Loop, d *dispatch.Dispatcher, server *fastcgi.Server, closeAfter time.Duration) {
 	wait, from := &deadline.Entry{}, l.Now()
 	owed := from // when something was last owed an answer
 	looks := 0   // not the time: after a stall all that came meanwhile is still to be read
@@ -345,6 +358,9 @@
 		if d.Open() > 0 || coming && looks < int(unfinished/lookEvery) {
 			owed = now
 		}
+		if d.Open() > 0 && now-from >= drainFor+closeAfter {
+			d.Close()
+		}
 		if owed == now || server.Unsent() > 0 && now-owed < sentIn {
 			l.At(wait, now+lookEvery)
 			return
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -345,6 +345,9 @@
 // Blind says for how long the list may be old, from now; 0 that it is not.
 func (d *Dispatcher) Blind(lasts time.Duration) { d.tell(calicohill.ListOld{For: lasts}) }
 
+// Close has every request that is open get its final answer now, unserved: the program is about to be ended.
+func (d *Dispatcher) Close() { d.tell(calicohill.Closing{}) }
+
 // Memory is what the Router has learned.
 func (d *Dispatcher) Memory() calicohill.Memory { return d.router.Memory() }
 
--- a/learn.go
+++ b/learn.go
@@ -69,8 +69,7 @@
 			r.observe(w, Unreachable, r.now)
 		}
 	case Unreached:
-		// The process died or cannot be reached: what it held is gone with it. One that answered meanwhile is
-		// well: of many connections some never come up.
+		// It died or cannot be reached, and what it held is gone, unless it answered elsewhere meanwhile.
 		if w.lastAnswer <= a.sent {
 			w.life++
 			r.doubt(w)
--- a/router.go
+++ b/router.go
@@ -7,7 +7,9 @@
 package calicohill
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -115,6 +117,10 @@
 			r.recall(e.Memory)
 		case PoolsChanged:
 			r.version++
+		case Closing:
+			for _, id := range slices.Sorted(maps.Keys(r.requests)) {
+				r.finish(r.requests[id])
+			}
 		case TimerFired:
 			due = due || e.Token == beatToken
 		}
--- a/rules.go
+++ b/rules.go
@@ -63,8 +63,7 @@
 		rate, span = max(rate, 1/r.leastAim/float64(r.set.Schedulers)), min(span, time.Second)
 	}
 	if r.now >= w.quotaTill {
-		// Shares under one call would add up if rounded: each scheduler draws whether it has one, and
-		// what it leaves unused lapses, or all savings could come at once.
+		// Shares under one call would add up if rounded: each scheduler draws whether it has one.
 		budget := coldMargin * r.set.TipMultiple * span.Seconds() * r.ripeness(w) * w.Weight * rate
 		// Most such draws are lost on workers that nothing is for just then. While calls come as usual one is
 		// let through by chance, so that a worker that is called coldEven times as much as others bears it,
