--- a/cmd/calicohill/endings_test.go
+++ b/cmd/calicohill/endings_test.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -705,3 +708,103 @@
 	}
 	s.endsWell()
 }
+
+// Requests that come in pieces, those of two clients in turn, and answers that come in pieces are whole in the end. Each
+// piece is a write of its own.
+func TestInPieces(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() { // a worker that echoes, one byte at a time
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for r := bufio.NewReader(c); ; {
+					line, err := r.ReadString('\n')
+					words := strings.Fields(line)
+					if err != nil || len(words) != 4 {
+						return
+					}
+					size, _ := strconv.Atoi(words[3])
+					body := make([]byte, size+2)
+					if _, err := io.ReadFull(r, body); err != nil {
+						return
+					}
+					for _, b := range []byte(answerLine(words[1], "OK", "depth=0,l=util:0.5", string(body[:size]))) {
+						if _, err := c.Write([]byte{b}); err != nil {
+							return
+						}
+					}
+				}
+			}()
+		}
+	}()
+	s := newSite(t)
+	s.tell(true, "a SERVING "+l.Addr().String())
+	s.start()
+	a, b := s.front(), s.front()
+	first, second := call("certificado", "the first").bytes(), call("certificado", "the second").bytes()
+	for i := range max(len(first), len(second)) {
+		if i < len(first) {
+			a.write(first[i : i+1])
+		}
+		if i < len(second) {
+			b.write(second[i : i+1])
+		}
+	}
+	for f, want := range map[*front]string{a: "the first", b: "the second"} {
+		if got := f.read(); got.body != want {
+			t.Errorf("status %d, %q, want %q", got.status, got.body, want)
+		}
+	}
+}
+
+// A second answer that comes some time after the first is nobody's, whether the first ended its request or had it tried
+// again, and whatever comes on the connection next gets its own.
+func TestSecondAnswerLate(t *testing.T) {
+	for _, first := range []string{"OK", "MISS", "ERR"} {
+		t.Run(first, func(t *testing.T) {
+			var mu sync.Mutex
+			second, at := "", "" // the second answer, and the worker that sends it before its next, on its first connection
+			begun := false
+			worker := func(name string) *nodeAgent {
+				return newAgent(t, func(n int, g goLine) string {
+					mu.Lock()
+					defer mu.Unlock()
+					if !begun {
+						begun, at, second = true, name, answerLine(g.id, "OK", "-", "second")
+						if first == "OK" {
+							return echo(n, g)
+						}
+						return answerLine(g.id, first, "-", "")
+					}
+					before := ""
+					if name == at && g.conn == 1 {
+						before, second = second, ""
+					}
+					return before + echo(n, g)
+				})
+			}
+			s := newSite(t)
+			s.tell(true, "a SERVING "+worker("a").addr, "b SERVING "+worker("b").addr)
+			s.start()
+			f := s.front()
+			f.send(call("consulta", "x"))
+			if got := f.read(); got.body != "re:x" {
+				t.Errorf("status %d, %q, want the first answer, or that of another attempt", got.status, got.body)
+			}
+			for _, body := range []string{"a", "b", "c", "d"} { // of functions that stand at either
+				f.send(call("consulta", body, [2]string{"HTTP_RESOURCE_KEY", fmt.Sprintf("%016x", body[0])}))
+				if got := f.read(); got.body != "re:"+body {
+					t.Errorf("status %d, %q, want the answer to %q", got.status, got.body, body)
+				}
+			}
+		})
+	}
+}
