--- a/learn.go
+++ b/learn.go
@@ -69,10 +69,12 @@
 			r.observe(w, Unreachable, r.now)
 		}
 	case Unreached:
-		// The process died or cannot be reached: what it held is gone with it.
-		w.life++
-		r.doubt(w)
-		r.observe(w, Unreachable, r.now)
+		// It died or cannot be reached, and what it held is gone, unless it answered elsewhere meanwhile.
+		if w.lastAnswer <= a.sent {
+			w.life++
+			r.doubt(w)
+			r.observe(w, Unreachable, r.now)
+		}
 	}
 	switch {
 	case e.Closed || q.done:
