--- a/cmd/calicohill/endings_test.go
+++ b/cmd/calicohill/endings_test.go
@@ -344,26 +344,34 @@
 	}
 }
 
-// Idle clients that take all places they can get, while discovery is down, keep neither the program from discovery
-// and new workers once it is back, nor others from being served.
+// Idle clients that take all places they can get at three schedulers, while discovery is down, keep none of them from
+// discovery and new workers once it is back, nor other clients from being served.
 func TestDescriptorsOfIdleClients(t *testing.T) {
 	a, b := newAgent(t, named("a")), newAgent(t, named("b"))
 	s := newSite(t)
-	s.sockets = 90
 	s.tell(true, "a SERVING "+a.addr)
-	s.start()
-	serves(t, s, "a")
-	down := s.bulletin
-	at := down.Listener.Addr().String()
-	down.CloseClientConnections()
-	down.Listener.Close()
-	until(t, "discovery is missed", func() bool { return strings.Contains(s.log.String(), "bulletin not heard") })
-	for range 200 {
-		s.front()
-	}
-	serves(t, s, "a")
-	for range 60 {
-		s.front()
+	sites := []*site{s, newSite(t), newSite(t)}
+	for _, other := range sites {
+		if other != s { // it asks the same bulletin
+			other.bulletin.Close()
+			other.bulletin, other.events = s.bulletin, s.events
+		}
+		other.sockets, other.of = 90, len(sites)
+		other.start()
+		serves(t, other, "a")
+	}
+	at := s.bulletin.Listener.Addr().String()
+	s.bulletin.CloseClientConnections()
+	s.bulletin.Listener.Close()
+	for _, s := range sites {
+		until(t, "discovery is missed", func() bool { return strings.Contains(s.log.String(), "bulletin not heard") })
+		for range 200 {
+			s.front()
+		}
+		serves(t, s, "a")
+		for range 60 {
+			s.front()
+		}
 	}
 	l, err := net.Listen("tcp", at)
 	if err != nil {
@@ -371,13 +379,16 @@
 	}
 	s.bulletin = &httptest.Server{Listener: l, Config: &http.Server{Handler: http.HandlerFunc(s.poll)}}
 	s.bulletin.Start()
-	s.told(false, "a DELETED "+a.addr, "b SERVING "+b.addr)
-	for range 60 {
-		s.front()
-	}
-	serves(t, s, "b")
-	if strings.Contains(s.log.String(), "too many open files") {
-		t.Error("the program ran out of descriptors")
+	s.tell(false, "a DELETED "+a.addr, "b SERVING "+b.addr)
+	for _, s := range sites {
+		until(t, "it knows of the second event", func() bool { return strings.Contains(s.log.String(), "event=2 ") })
+		for range 60 {
+			s.front()
+		}
+		serves(t, s, "b")
+		if strings.Contains(s.log.String(), "too many open files") {
+			t.Error("a program ran out of descriptors")
+		}
 	}
 }
 
