Reproduce drains that schedulers do not obey while the list service is out

Scripted agents answer health checks, as the protocol has it; one that drains says DOWN and rejects requests.

--- a/cmd/calicohill/harness_agent_test.go
+++ b/cmd/calicohill/harness_agent_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,12 +33,15 @@
 	reply    func(n int, request agentRequest) string
 	// idleReset is the idle time after which the next request resets its connection; 0 for never.
 	idleReset time.Duration
+	// draining has requests rejected and health checks answered with DOWN.
+	draining atomic.Bool
 
 	mu     sync.Mutex
 	seen   []agentRequest // in the order of their arrival
 	halted []string       // IDs of canceled requests
 	conns  int            // connections accepted so far
 	closed int            // of these, those that have ended
+	checks int            // health checks received so far
 	open   map[net.Conn]bool
 }
 
@@ -145,20 +150,41 @@
 		switch command.Verb {
 		case standin.AgentCancel:
 			a.noteCanceled(command.ID)
+		case standin.AgentPing, standin.AgentStatus:
+			connection.answerHealthCheck(command.ID)
 		case standin.AgentStart:
 			request := agentRequest{id: command.ID, fields: command.Fields, body: command.Body, conn: number}
 			n := a.noteReceived(request)
 			go connection.answer(n, request)
 		default:
-			a.t.Errorf("command %q, which scripted agents do not answer", command.Verb)
+			a.t.Errorf("command %q, which agents do not know", command.Verb)
 			return
 		}
 	}
 }
 
+// answerHealthCheck answers whether the agent takes requests.
+func (c *agentConnection) answerHealthCheck(tag string) {
+	c.agent.mu.Lock()
+	c.agent.checks++
+	c.agent.mu.Unlock()
+	status := standin.AnswerUp
+	if c.agent.draining.Load() {
+		status = standin.AnswerDown
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	_, _ = fmt.Fprintf(c.Conn, "%s %s\r\n", tag, status) // fails if the scheduler has closed the connection
+}
+
 // answer writes the agent's reply to a request.
 func (c *agentConnection) answer(n int, request agentRequest) {
-	text := c.agent.reply(n, request)
+	text := ""
+	if c.agent.draining.Load() {
+		text = answerLine(request.id, string(standin.AnswerBusy), "-", "")
+	} else {
+		text = c.agent.reply(n, request)
+	}
 	if text == resetConnection {
 		resetOnClose(c.Conn)
 		c.Close()
--- a/cmd/calicohill/harness_endpoints_test.go
+++ b/cmd/calicohill/harness_endpoints_test.go
@@ -12,6 +12,10 @@
 
 // poll answers a poll as the endpoint list service does.
 func (s *testScheduler) poll(w http.ResponseWriter, r *http.Request) {
+	if s.listSilent.Load() {
+		<-r.Context().Done()
+		return
+	}
 	request := standin.ParsePollRequest(r)
 	timeout := time.After(request.Timeout)
 	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
@@ -90,3 +94,15 @@
 	s.mu.Unlock()
 	waitUntil(s.t, "the program knows of "+want, func() bool { return strings.Contains(s.log.String(), want) })
 }
+
+// refusePolls has connections to the list service refused, and breaks those that are open.
+func (s *testScheduler) refusePolls() {
+	_ = s.listServer.Listener.Close()
+	s.listServer.CloseClientConnections()
+}
+
+// silenceListService has polls received but not answered any more; connections to the service still come up.
+func (s *testScheduler) silenceListService() {
+	s.listSilent.Store(true)
+	s.listServer.CloseClientConnections()
+}
--- a/cmd/calicohill/harness_scheduler_test.go
+++ b/cmd/calicohill/harness_scheduler_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,6 +51,7 @@
 	changed       chan struct{}               // closed and replaced by each new event
 	pollOverrides []func(http.ResponseWriter) // answer the next polls in place of the events
 	openPolls     map[string]int              // number of open polls, by the service's address
+	listSilent    atomic.Bool                 // polls are not answered
 }
 
 // newTestScheduler returns a scheduler that is not started yet; its fields can be changed before that.
--- a/internal/testbed/standin/agentprotocol.go
+++ b/internal/testbed/standin/agentprotocol.go
@@ -125,9 +125,11 @@
 
 // The status words that the stand-ins answer with.
 const (
-	AnswerOK    AnswerStatus = "OK"  // served, with a body
-	AnswerError AnswerStatus = "ERR" // failed; the function may have run
-	AnswerUp    AnswerStatus = "UP"  // answers AgentPing and AgentStatus
+	AnswerOK    AnswerStatus = "OK"   // served, with a body
+	AnswerError AnswerStatus = "ERR"  // failed; the function may have run
+	AnswerBusy  AnswerStatus = "BUSY" // rejected: the queue is full, or the agent drains
+	AnswerUp    AnswerStatus = "UP"   // answers AgentPing and AgentStatus
+	AnswerDown  AnswerStatus = "DOWN" // answers these while the agent drains
 )
 
 // AgentAnswer is the answer of a node agent to a command.
