Hold leases on workers, so that an old endpoint list sends nothing to one that drains

Cause: the Router took the endpoint list for current until the next one came, however old it was. A poll without an answer made the planner dial again and told nobody else, so that a drain which counted as announced (7 s after its publication) and bound (a grace later) was not obeyed. Rejections by the draining worker were read as a full queue. It is a stale read of replicated state.

Change: pollplan says as of when a response proves the list complete (Confirm); routing/lease allows sends to a worker for 7 s plus the grace after the latest proof that it takes requests: a confirmed list, a request that it accepted, a health check answered with UP. While the list is in doubt, idle workers are asked for their health, at most four times a second by all schedulers together; one that says DOWN, cannot be reached, rejects two requests in a row or breaks a connection is suspended until it proves itself, and one that was down is taken to warm up when it returns. What waits for a connection is bound by the lease (Send.StartWithin). A restored list is of unknown age and grants no lease.

The log gets the part routing: list in doubt and confirmed again, workers suspended and why; at level debug how each attempt ended and why a request was rejected or failed, with its id. Reject and Fail carry the reason.

--- a/cmd/calicohill/list_outage_test.go
+++ b/cmd/calicohill/list_outage_test.go
@@ -54,7 +54,10 @@
 	const grace = 200 * time.Millisecond
 	agents := map[string]*nodeAgent{}
 	sched := newTestScheduler(t)
-	sched.settingsEdits = [][2]string{{`"stopSendingWithinMs":1000`, fmt.Sprintf(`"stopSendingWithinMs":%d`, grace.Milliseconds())}}
+	sched.settingsEdits = [][2]string{
+		{`"stopSendingWithinMs":1000`, fmt.Sprintf(`"stopSendingWithinMs":%d`, grace.Milliseconds())},
+		allowHealthChecks,
+	}
 	var targets []string
 	for _, name := range []string{"a", "b", "c"} {
 		agents[name] = newAgent(t, answerWith(name))
--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -30,6 +30,7 @@
 	sched.loop.Accept = sched.server.Accept
 	sched.loop.Stalled = sched.watcher.Stalled
 	sched.watcher.OnStale = sched.dispatcher.MarkStale
+	sched.watcher.OnConfirmed = sched.dispatcher.ConfirmEndpoints
 	sched.loop.Started = func() {
 		sched.start()
 		sched.handleSignals(signals)
--- a/cmd/calicohill/scheduler.go
+++ b/cmd/calicohill/scheduler.go
@@ -108,6 +108,7 @@
 
 	buffers := bufferpool.NewPool(limits.requestBuffers)
 	s.dispatcher = dispatch.New(s.loop, router, buffers, deployment.MaxOpenRequests)
+	s.dispatcher.SetLog(s.loggers.Component("routing"))
 	agents := nodeagent.New(s.loop, s.dispatcher, nodeagent.Options{
 		Classes:        deployment.ClassNames,
 		PipelineDepth:  deployment.PipelineDepth,
--- a/cmd/calicohill/snapshot_test.go
+++ b/cmd/calicohill/snapshot_test.go
@@ -19,6 +19,7 @@
 	t.Helper()
 	file := filepath.Join(dir, "n0.list")
 	sched := newTestScheduler(t)
+	sched.settingsEdits = [][2]string{allowHealthChecks}
 	sched.operatorFile = filepath.Join(t.TempDir(), "own.conf")
 	text := "state\n  snapshot " + file + "\n  fleet gt-registros\n  max-age 1h\n"
 	if err := os.WriteFile(sched.operatorFile, []byte(text), 0o600); err != nil {
@@ -82,6 +83,30 @@
 	}
 }
 
+// Nobody knows how old a saved list is: where workers may not be asked for their health, it is not used before the list
+// service has confirmed it, since a worker in it may have been draining for long.
+func TestSnapshotOfUnknownAge(t *testing.T) {
+	agent := newAgent(t, answerWith("a"))
+	sched, file := newSchedulerWithSnapshot(t, t.TempDir())
+	sched.settingsEdits = nil
+	sched.addEvent(true, "a SERVING "+agent.addr)
+	sched.addEvent(false, "a SERVING "+agent.addr)
+	sched.start()
+	waitUntil(t, "the list is saved", func() bool { return snapshotEvent(t, file) == 2 })
+	sched.kill()
+	sched.knownEvents = 1
+	sched.silenceListService()
+	sched.start()
+	client := sched.connect()
+	client.send(newCall("consulta", "", [2]string{"HTTP_BUDGET_MS", "3000"}))
+	if got := client.readAnswer(); got.status != http.StatusServiceUnavailable || len(agent.received()) != 0 {
+		t.Errorf("status %d by a list that nobody confirmed, want 503 and nothing sent", got.status)
+	}
+	sched.listSilent.Store(false)
+	sched.listServer.CloseClientConnections()
+	waitUntilServedBy(t, sched, "a")
+}
+
 // Learned state is saved with the list: after a crash requests go where their functions are loaded, and start no loads
 // at a worker that was added since.
 func TestSnapshotOfLearnedState(t *testing.T) {
--- a/internal/discovery/event_log.go
+++ b/internal/discovery/event_log.go
@@ -26,6 +26,7 @@
 	restored       bool              // the list is an earlier process's, and the service has not answered yet
 	targets        map[string]target // current list by UID; kept only where onChange is set
 	lastEvent      int               // number of the last event applied; 0 requests the complete list
+	serviceEvent   int               // number of the last event that the service had at its latest response
 	malformedEvent int               // number of the latest event that was rejected; the next time it is read leniently
 	acceptedGap    int               // events up to this number may be missing: the service no longer has them
 }
@@ -42,6 +43,9 @@
 // last is the number of the last event applied; 0 requests the complete list.
 func (l *eventLog) last() int { return l.lastEvent }
 
+// isComplete reports whether every event that the service had at its latest response was applied.
+func (l *eventLog) isComplete() bool { return l.lastEvent >= l.serviceEvent }
+
 // isRestored reports whether the list is an earlier process's, and the service has not answered yet.
 func (l *eventLog) isRestored() bool { return l.restored }
 
@@ -112,6 +116,7 @@
 	if err := json.Unmarshal(body, &feed); err != nil {
 		return err
 	}
+	l.serviceEvent = feed.Number
 	// A service that was replaced since the snapshot numbers its events from 1 again: request the complete list.
 	restarted := l.restored && feed.Number < l.lastEvent
 	l.restored = false
--- a/internal/discovery/pollplan/messages.go
+++ b/internal/discovery/pollplan/messages.go
@@ -18,6 +18,7 @@
 type Answered struct {
 	Conn              int
 	HasUpdates        bool // it had events that were not known before
+	Incomplete        bool // the list lacks events that the service has
 	ConnectionClosing bool // the service closes the connection after it
 }
 
@@ -33,7 +34,7 @@
 // Stalled reports that the process did not run for a while: it was stopped, or had no processor.
 type Stalled struct{}
 
-// Action is what the caller has to do: a Dial, Poll, Close, PollOverdue or MarkStale.
+// Action is what the caller has to do: a Dial, Poll, Close, PollOverdue, MarkStale or Confirm.
 type Action any
 
 // Dial opens a connection under a number of its own. Connected or Failed follows.
@@ -54,3 +55,6 @@
 // MarkStale says that the list may be outdated for this long from now on, or until a MarkStale of 0: this scheduler did not
 // poll, and the protocol counts changes published meanwhile as delivered.
 type MarkStale struct{ Duration time.Duration }
+
+// Confirm says that the list is known to have been complete at a time; 0 stands for a list of unknown age.
+type Confirm struct{ AsOf time.Duration }
--- a/internal/discovery/pollplan/planner.go
+++ b/internal/discovery/pollplan/planner.go
@@ -23,6 +23,11 @@
 	// maxPollTimeout is how long the protocol lets a poll wait. Polls of a large fleet wait that long after a response that
 	// was late or missing: the service may be overloaded, and polling it more often would only add to that.
 	maxPollTimeout = 5 * time.Second
+	// maxConfirmationAge is the age of the list's last confirmation by which a poll is to be answered. A change counts as
+	// delivered 7 s after it was published, so that an older list has to be taken for outdated soon after.
+	maxConfirmationAge = 6 * time.Second
+	// minPollTimeout is the shortest wait of a poll that is made for that reason.
+	minPollTimeout = 500 * time.Millisecond
 	// overdueAfter is how long after the end of its wait a poll is overdue, and another is made beside it.
 	overdueAfter = 500 * time.Millisecond
 	// maxOverdueAfter is the same where the service may be overloaded. A change counts as delivered 2 s after the end of the
@@ -62,9 +67,11 @@
 	overdue      *connection   // the one whose poll got no response in time; nil if none
 	lastConn     int           // number of the last connection dialed
 	backoff      backoff
-	synchronized bool // the whole fleet may just have been answered
-	serviceSlow  bool // the last response came late, or there was none yet
-	stale        bool // after a stall, no response to a later poll has come yet
+	synchronized bool          // the whole fleet may just have been answered
+	serviceSlow  bool          // the last response came late, or there was none yet
+	stale        bool          // after a stall, no response to a later poll has come yet
+	hadUpdates   bool          // the last response had some
+	confirmedAt  time.Duration // the list is known to have been complete then
 	pollLimit    ratelimit.TokenBucket
 	actions      []Action // returned by Step, and reused by the next
 }
@@ -133,6 +140,12 @@
 	if event.HasEndpoints { // without endpoints a scheduler can serve nothing, and polls before the others
 		p.dialAt += p.spread.afterUpdate()
 	}
+	switch {
+	case event.Restored: // nobody knows what has changed since it was saved
+		p.actions = append(p.actions, Confirm{0})
+	case event.HasEndpoints:
+		p.confirm(now)
+	}
 	if event.Restored {
 		p.stale = true
 		p.actions = append(p.actions, MarkStale{p.spread.updateWindow + staleAfterStall})
@@ -186,16 +199,21 @@
 	if p.synchronized {
 		timeout = p.spread.jittered(timeout)
 	}
+	if p.hadUpdates { // a response with updates confirms the list as of its poll, which may have waited for long
+		timeout = min(timeout, max(minPollTimeout, p.confirmedAt+maxConfirmationAge-now))
+	}
 	if p.stale { // a response is needed at once, with updates or without
 		timeout = 0
 	}
 	conn.startPoll(now, timeout, lateness)
 	p.synchronized = false
+	p.hadUpdates = false
 	p.actions = append(p.actions, Poll{conn.number, timeout})
 }
 
 // answered plans the poll after a response.
 func (p *Planner) answered(now time.Duration, event Answered) {
+	p.confirmBy(now, event)
 	if p.overdue.hasNumber(event.Conn) && !p.resume() {
 		return
 	}
@@ -212,6 +230,7 @@
 	p.serviceSlow = p.overdue != nil || now > conn.overdueAt
 	p.closeConnection(&p.overdue)
 	p.backoff.reset()
+	p.hadUpdates = event.HasUpdates
 	next := p.nextPoll(now, event)
 	if event.ConnectionClosing {
 		p.closeConnection(&p.current)
@@ -221,6 +240,31 @@
 	conn.pollAt(next)
 }
 
+// confirmBy confirms the list by a response. It was complete when the poll was made, since the service had the poll after
+// that; a response without updates came after the whole wait, if that is over.
+func (p *Planner) confirmBy(now time.Duration, event Answered) {
+	conn := p.current
+	if p.overdue.hasNumber(event.Conn) {
+		conn = p.overdue
+	}
+	if event.Incomplete || !conn.hasNumber(event.Conn) || !conn.isPolling() {
+		return
+	}
+	if !event.HasUpdates && now >= conn.timeoutAt {
+		p.confirm(conn.timeoutAt)
+		return
+	}
+	p.confirm(conn.at)
+}
+
+// confirm notes that the list was complete at a time.
+func (p *Planner) confirm(asOf time.Duration) {
+	if asOf > p.confirmedAt {
+		p.confirmedAt = asOf
+		p.actions = append(p.actions, Confirm{asOf})
+	}
+}
+
 // resume makes the connection of the overdue poll, which was answered after all, the current one again. It returns false if
 // the poll that was to replace it is already in flight: then it closes the connection of the overdue poll.
 func (p *Planner) resume() bool {
--- a/internal/discovery/pollplan/planner_test.go
+++ b/internal/discovery/pollplan/planner_test.go
@@ -183,11 +183,11 @@
 		}
 		if polled := len(got) == 2 && got[1] == (pollplan.Poll{Conn: 1}); !polled {
 			// The old poll is answered first, and the next is made at once, for an answer at once.
-			if got = planner.Step(now+1, pollplan.Answered{Conn: 1}); len(got) != 1 || got[0] != (pollplan.Poll{Conn: 1}) {
+			if got = withoutConfirm(planner.Step(now+1, pollplan.Answered{Conn: 1})); len(got) != 1 || got[0] != (pollplan.Poll{Conn: 1}) {
 				t.Errorf("%s: on the answer to the old poll %v", tt.name, got)
 			}
 		}
-		if got = planner.Step(now+2, pollplan.Answered{Conn: 1}); len(got) != 2 || got[0] != (pollplan.MarkStale{}) {
+		if got = withoutConfirm(planner.Step(now+2, pollplan.Answered{Conn: 1})); len(got) != 2 || got[0] != (pollplan.MarkStale{}) {
 			t.Errorf("%s: on the answer %v", tt.name, got)
 		}
 	}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -40,6 +40,8 @@
 
 	// OnChange, if set before Start, is called after a response whose events changed the list, never between two of them.
 	OnChange func()
+	// OnConfirmed, if set, is called with the time at which the list is known to have been complete, when that advances.
+	OnConfirmed func(asOf time.Duration)
 	// OnStale, if set, is called with how long the list may be outdated after a stall, and with 0 once it is current again.
 	OnStale func(time.Duration)
 
@@ -137,6 +139,10 @@
 		if w.OnStale != nil {
 			w.OnStale(action.Duration)
 		}
+	case pollplan.Confirm:
+		if w.OnConfirmed != nil {
+			w.OnConfirmed(action.AsOf)
+		}
 	case pollplan.PollOverdue:
 		w.log.Warn("poll overdue: polled once more")
 	}
@@ -164,6 +170,7 @@
 	w.step(pollplan.Answered{
 		Conn:              number,
 		HasUpdates:        result == advanced,
+		Incomplete:        !w.events.isComplete(),
 		ConnectionClosing: connectionClosing,
 	})
 	if result == rewound {
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -47,6 +47,7 @@
 	loop      Loop
 	requests  *requestTable
 	endpoints *endpointTable
+	log       *decisionLog
 	enqueue   func(routing.Event)
 	workers   Workers
 	attempts  slotmap.Table[*attempt]
@@ -122,13 +123,15 @@
 	t.loop.ClearDeadline(&att.timer)
 	t.attempts.Remove(att.ref)
 	att.request.endAttempt()
+	latency := t.loop.Now() - att.sentAt
+	t.log.attemptEnded(att, result.Outcome, latency)
 	t.enqueue(routing.AttemptEnded{
 		ID:                  att.request.ID,
 		Attempt:             att.number,
 		Worker:              att.worker,
 		Outcome:             result.Outcome,
 		RequestAnswered:     att.request.isAnswered(),
-		Latency:             t.loop.Now() - att.sentAt,
+		Latency:             latency,
 		InFlightForFunction: result.InFlightForFunction,
 		Report:              result.Report,
 	})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -18,6 +18,8 @@
 	"calicohill/internal/runtime/bufferpool"
 	"calicohill/internal/runtime/deadline"
 	"calicohill/routing"
+
+	"github.com/sirupsen/logrus"
 )
 
 // Loop is what a Dispatcher needs of the event loop.
@@ -48,6 +50,7 @@
 	stepPosted bool
 
 	observeFault func(routing.ReportFault) // nil if nobody observes faults
+	log          *decisionLog
 }
 
 // New returns a Dispatcher that has at most maxOpenRequests requests open at once; 0 means no limit. Buffers of requests
@@ -58,8 +61,10 @@
 		router:    router,
 		requests:  newRequestTable(maxOpenRequests, pool),
 		endpoints: newEndpointTable(),
+		log:       &decisionLog{},
 	}
 	dispatcher.attempts = &attemptTable{
+		log:       dispatcher.log,
 		loop:      loop,
 		requests:  dispatcher.requests,
 		endpoints: dispatcher.endpoints,
@@ -77,6 +82,9 @@
 // SetFaultObserver sets the function that is called with each fault that the Router finds in a worker. It must not block.
 func (d *Dispatcher) SetFaultObserver(observe func(routing.ReportFault)) { d.observeFault = observe }
 
+// SetLog sets the log of what became of requests, attempts and workers; without it nothing is written.
+func (d *Dispatcher) SetLog(log *logrus.Entry) { d.log.log = log }
+
 // enqueue adds an event to the Router step at the end of this pass of the loop.
 func (d *Dispatcher) enqueue(event routing.Event) {
 	d.events = append(d.events, event)
@@ -113,8 +121,10 @@
 	case routing.Cancel:
 		d.attempts.cancelByNumber(action.ID, action.Attempt)
 	case routing.Reject:
+		d.log.notServed(action.ID, Rejected, action.Reason)
 		d.requests.answerByID(action.ID, Answer{Status: Rejected, RetryAfter: action.RetryAfter})
 	case routing.Fail:
+		d.log.notServed(action.ID, Failed, action.Reason)
 		d.requests.answerByID(action.ID, Answer{Status: Failed})
 	case routing.SetTimer:
 		// The Router never stops a timer, so that nothing has to keep it.
@@ -125,6 +135,8 @@
 		if d.observeFault != nil {
 			d.observeFault(action)
 		}
+	case routing.WorkerSuspended, routing.EndpointsDoubted:
+		d.log.noted(action)
 	case routing.Probe:
 		d.workers.Probe(action.Worker)
 	case routing.Load:
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -36,6 +36,7 @@
 // request keeps its ID and its body.
 func (d *Dispatcher) Cancel(ref slotmap.Ref) {
 	if req, ok := d.requests.withdraw(ref); ok {
+		d.log.canceled(req.ID)
 		d.enqueue(routing.ClientCanceled{ID: req.ID})
 	}
 }
@@ -87,6 +88,12 @@
 	d.enqueue(routing.EndpointsStale{Duration: duration})
 }
 
+// ConfirmEndpoints says that the endpoint list, as updated so far, is known to have been complete at a time; 0 stands for a
+// list of unknown age.
+func (d *Dispatcher) ConfirmEndpoints(asOf time.Duration) {
+	d.enqueue(routing.EndpointsConfirmed{AsOf: asOf})
+}
+
 // ApplyPeerReports passes on what other schedulers report of workers.
 func (d *Dispatcher) ApplyPeerReports(reports routing.PeerReports) { d.enqueue(reports) }
 
--- a/internal/runtime/logging/loggers.go
+++ b/internal/runtime/logging/loggers.go
@@ -15,7 +15,7 @@
 )
 
 // Components lists the components of the program that log lines name and whose level can be set separately.
-var Components = []string{"scheduler", "agent", "bulletin", "clients", "gossip", "rules"}
+var Components = []string{"scheduler", "agent", "bulletin", "clients", "gossip", "routing", "rules"}
 
 // Settings says how lines are formatted and which are written.
 type Settings struct {
--- a/routing/actions.go
+++ b/routing/actions.go
@@ -3,7 +3,8 @@
 import "time"
 
 // Action is something that a Router asks for, to be done in the order given. The concrete types are Send, Cancel, Reject,
-// Fail, SetTimer, Probe, Load, Unload, Subscribe, FetchList and, with Settings.FaultReporting, ReportFault.
+// Fail, SetTimer, Probe, Load, Unload, Subscribe, FetchList, with Settings.FaultReporting ReportFault, and after an
+// EndpointsConfirmed WorkerSuspended and EndpointsDoubted.
 type Action interface{ action() }
 
 // Send starts an attempt. The attempts of a request are numbered from 0 in the order of their Sends. It is answered by
@@ -27,10 +28,64 @@
 type Reject struct {
 	ID         string
 	RetryAfter time.Duration // advice on when to retry; 0 means none
+	Reason     EndReason
 }
 
 // Fail is a final answer that promises nothing: the request may have run.
-type Fail struct{ ID string }
+type Fail struct {
+	ID     string
+	Reason EndReason
+}
+
+// EndReason says why a request was not served.
+type EndReason uint8
+
+// The reasons.
+const (
+	Overloaded      EndReason = iota // rejected on arrival: it would have been late, or its worker is under pressure
+	NoCapacity                       // no worker had capacity in half of its time
+	OutOfTime                        // its client is about to give up
+	NoFurtherTry                     // its attempts are used up, or its class allows no further one
+	StreamBroken                     // the answer had begun to stream
+	SchedulerEnding                  // this scheduler is about to end
+)
+
+// String returns the name of a reason.
+func (r EndReason) String() string {
+	return [...]string{"overloaded", "no capacity", "out of time", "no further try", "stream broken", "scheduler ending"}[r]
+}
+
+// WorkerSuspended says that a worker gets no requests until it shows that it takes them, or discovery confirms its list:
+// while that is in doubt, the worker gave reason to take it for draining or gone. It is for the log.
+type WorkerSuspended struct {
+	Worker string
+	Reason SuspendReason
+}
+
+// SuspendReason says what a worker was suspended for.
+type SuspendReason uint8
+
+// The reasons.
+const (
+	RejectedRequests  SuspendReason = iota // it rejected several in a row
+	ReportedDown                           // a health check was answered with the word for down
+	CouldNotBeReached                      // no connection came up
+	ConnectionBroke                        // its connection broke under a request
+)
+
+// String returns the name of a reason.
+func (r SuspendReason) String() string {
+	return [...]string{"rejected requests", "reported down", "could not be reached", "connection broke"}[r]
+}
+
+// EndpointsDoubted says that the endpoint list came into doubt, since nothing confirmed it for a while, or is confirmed
+// again; in between it is repeated. It is for the log.
+type EndpointsDoubted struct {
+	InDoubt bool
+	Age     time.Duration // since the last confirmation
+	Ready   int           // workers that are listed as ready
+	Usable  int           // of these, workers that may be sent requests
+}
 
 // SetTimer asks for a TimerFired.
 type SetTimer struct {
@@ -68,14 +123,16 @@
 	ObservedAt time.Duration // when the request that shows it was sent, or the answer arrived
 }
 
-func (ReportFault) action() {}
-func (Send) action()        {}
-func (Cancel) action()      {}
-func (Reject) action()      {}
-func (Fail) action()        {}
-func (SetTimer) action()    {}
-func (Probe) action()       {}
-func (Load) action()        {}
-func (Unload) action()      {}
-func (Subscribe) action()   {}
-func (FetchList) action()   {}
+func (ReportFault) action()      {}
+func (WorkerSuspended) action()  {}
+func (EndpointsDoubted) action() {}
+func (Send) action()             {}
+func (Cancel) action()           {}
+func (Reject) action()           {}
+func (Fail) action()             {}
+func (SetTimer) action()         {}
+func (Probe) action()            {}
+func (Load) action()             {}
+func (Unload) action()           {}
+func (Subscribe) action()        {}
+func (FetchList) action()        {}
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -131,19 +131,19 @@
 		r.admit(next)
 		return
 	}
-	r.rejectOrFail(req)
+	r.rejectOrFail(req, Overloaded)
 }
 
 // rejectOrFail is the only place that ends a request unserved: with a rejection if a repeat is known to be
 // harmless, and with a failure otherwise.
-func (r *Router) rejectOrFail(req *request) {
+func (r *Router) rejectOrFail(req *request, reason EndReason) {
 	if req.answered {
 		return
 	}
 	if r.retries.rejectionIsSafe(req) {
-		r.out.emit(Reject{req.ID, r.admission.retryAfter(r.now)})
+		r.out.emit(Reject{req.ID, r.admission.retryAfter(r.now), reason})
 	} else {
-		r.out.emit(Fail{req.ID})
+		r.out.emit(Fail{req.ID, reason})
 	}
 	r.complete(req)
 }
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -20,7 +20,9 @@
 	if r.endpoints.isStale(r.now) || !r.picker.mayAttempt(r.now, r.rng, req, target) {
 		return false
 	}
-	startWithin := r.retries.startWithin(r.now, req)
+	// What waits for a connection may not outlast the lease on its worker.
+	lease := r.endpoints.leases.Remaining(&target.lease, r.now)
+	startWithin := earlierBound(r.retries.startWithin(r.now, req), lease)
 	started := &attempt{
 		request:     req,
 		number:      len(req.attempts),
@@ -39,6 +41,14 @@
 	return true
 }
 
+// earlierBound returns the earlier of two bounds on a time, where 0 stands for no bound.
+func earlierBound(a, b time.Duration) time.Duration {
+	if a == 0 || b == 0 {
+		return a + b
+	}
+	return min(a, b)
+}
+
 // overdueAfter is the time after which an attempt without an answer is overdue, in seconds.
 func (r *Router) overdueAfter(a *attempt) float64 {
 	objective := a.request.class.LatencyObjective.Seconds()
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -1,12 +1,15 @@
 package routing
 
 import (
+	"cmp"
+	"iter"
 	"slices"
 	"time"
 
 	"calicohill/internal/stats/rendezvous"
 	"calicohill/routing/concurrency"
 	"calicohill/routing/latency"
+	"calicohill/routing/lease"
 	"calicohill/routing/outlier"
 	"calicohill/routing/pressure"
 	"calicohill/routing/slowstart"
@@ -19,6 +22,7 @@
 // and for each mechanism the state that it alone writes.
 type worker struct {
 	Worker
+	listedStart time.Duration // its latest start that was listed; Started may be one that was found here
 	removedAt   time.Duration // when it was listed as Gone last
 	incarnation int           // counts restarts; what was believed of an earlier incarnation is void
 
@@ -30,11 +34,13 @@
 	latency   latency.Worker
 	health    outlier.Worker
 	slowStart slowstart.Worker
+	lease     lease.Worker
 }
 
 // endpointTable holds the workers of the endpoint list, and says whether that may be stale. It forgets a
 // worker an InstanceKeepAlive after it was removed.
 type endpointTable struct {
+	leases          *lease.Table
 	schedulers      int
 	weightsReported bool
 	keepAlive       time.Duration
@@ -53,6 +59,7 @@
 
 func newEndpointTable(s *Settings) *endpointTable {
 	return &endpointTable{
+		leases:          lease.NewTable(s.DrainGrace, s.Schedulers),
 		schedulers:      s.Schedulers,
 		weightsReported: s.WeightsReported,
 		keepAlive:       s.InstanceKeepAlive,
@@ -92,17 +99,20 @@
 	known := t.byID[entry.ID]
 	if known == nil {
 		known = &worker{
-			Worker: entry,
-			limit:  concurrency.NewWorker(t.schedulers),
-			health: outlier.NewWorker(now),
+			Worker:      entry,
+			listedStart: entry.Started,
+			limit:       concurrency.NewWorker(t.schedulers),
+			health:      outlier.NewWorker(now),
 		}
 		t.byID[entry.ID] = known
 		t.list = insertSorted(t.list, known, func(w *worker) string { return w.ID })
 		return
 	}
-	if entry.Started != known.Started && entry.Started > 0 {
+	if entry.Started != known.listedStart && entry.Started > 0 {
 		known.restart(t.schedulers)
+		known.lease.Restart()
 	}
+	known.listedStart = cmp.Or(entry.Started, known.listedStart)
 	if entry.State == Gone {
 		// An entry that says Gone need not say anything else: what was known of the worker stays.
 		known.remove(now)
@@ -158,6 +168,23 @@
 	return fn.order.workers
 }
 
+// leasedOrder is the rendezvous order of the workers for a function, numbered without those that this
+// scheduler has no lease on: the next ones stand in for them, as if they were not listed.
+func (t *endpointTable) leasedOrder(now time.Duration, fn *function) iter.Seq2[int, *worker] {
+	return func(yield func(int, *worker) bool) {
+		number := 0
+		for _, w := range t.rendezvousOrder(fn) {
+			if !t.leases.Valid(&w.lease, now) {
+				continue
+			}
+			if !yield(number, w) {
+				return
+			}
+			number++
+		}
+	}
+}
+
 // remove notes that a worker was listed as Gone, or left out of a full list.
 func (w *worker) remove(now time.Duration) {
 	w.State = Gone
@@ -176,9 +203,10 @@
 // voidInstances begins a new incarnation: what was believed loaded is gone.
 func (w *worker) voidInstances() { w.incarnation++ }
 
-// eligible reports whether a worker may get requests: an ejected one gets only one probe at a time.
-func (w *worker) eligible(now time.Duration) bool {
-	return w.State == Ready && w.health.Eligible(now, len(w.inFlight))
+// eligible reports whether a worker may get requests: this scheduler has a lease on it, and an ejected one
+// gets only one probe at a time.
+func (t *endpointTable) eligible(now time.Duration, w *worker) bool {
+	return w.State == Ready && w.health.Eligible(now, len(w.inFlight)) && t.leases.Valid(&w.lease, now)
 }
 
 // requestsInSlots is the number of attempts at a worker that count against its limit.
@@ -224,11 +252,11 @@
 }
 
 // refresh sums up the workers that are eligible now.
-func (f *eligibleFleet) refresh(now time.Duration, workers []*worker, outliers *outlier.Detector) {
+func (f *eligibleFleet) refresh(now time.Duration, endpoints *endpointTable, outliers *outlier.Detector) {
 	f.capacity = concurrency.Capacity{}
 	f.healthy = 0
-	for _, w := range workers {
-		if !w.eligible(now) {
+	for _, w := range endpoints.list {
+		if !endpoints.eligible(now, w) {
 			continue
 		}
 		if !outliers.IsUnhealthy(&w.health, now) {
--- a/routing/events.go
+++ b/routing/events.go
@@ -4,7 +4,7 @@
 
 // Event is something that happened, as reported to Step. The concrete types are WorkerList, Request, StreamStarted,
 // AttemptEnded, ClientCanceled, TimerFired, ProbeEnded, LoadEnded, PeerMessage, PeerReports, PoolsChanged,
-// EndpointsStale, StateRestored and Shutdown.
+// EndpointsStale, EndpointsConfirmed, StateRestored and Shutdown.
 type Event interface{ event() }
 
 // WorkerList is the endpoint list or changes of it, from discovery.
@@ -125,6 +125,13 @@
 	NotLoaded                      // the function isn't loaded there and no load is under way, or the load failed
 )
 
+// String returns the name of an outcome.
+func (o Outcome) String() string {
+	return [...]string{
+		"served", "errored", "shed", "timed out", "connect failed", "connection reset", "canceled", "not sent", "not loaded",
+	}[o]
+}
+
 // StartType says in what state an answered request found its function.
 type StartType int
 
@@ -212,6 +219,11 @@
 	return [...]string{"healthy", "unresponsive", "slow", "failing", "unreachable"}[f]
 }
 
+// EndpointsConfirmed says that discovery's list, as reported by all WorkerLists so far, is known to have been complete at a
+// time; 0 stands for a list of unknown age. From the first on, workers get requests only as long as that, or their own
+// answers, prove that no drain binds yet. A discovery that pushes changes reports none.
+type EndpointsConfirmed struct{ AsOf time.Duration }
+
 // EndpointsStale says for how long from now the endpoint list may be stale: nobody heard of changes for a while. Nothing
 // is sent until then, or until another EndpointsStale says 0.
 type EndpointsStale struct{ Duration time.Duration }
@@ -222,17 +234,18 @@
 // Shutdown says that this scheduler is about to end: every open request gets its final answer now.
 type Shutdown struct{}
 
-func (WorkerList) event()     {}
-func (Request) event()        {}
-func (StreamStarted) event()  {}
-func (AttemptEnded) event()   {}
-func (ClientCanceled) event() {}
-func (TimerFired) event()     {}
-func (ProbeEnded) event()     {}
-func (LoadEnded) event()      {}
-func (PeerMessage) event()    {}
-func (PeerReports) event()    {}
-func (PoolsChanged) event()   {}
-func (EndpointsStale) event() {}
-func (Shutdown) event()       {}
-func (StateRestored) event()  {}
+func (WorkerList) event()         {}
+func (Request) event()            {}
+func (StreamStarted) event()      {}
+func (AttemptEnded) event()       {}
+func (ClientCanceled) event()     {}
+func (TimerFired) event()         {}
+func (ProbeEnded) event()         {}
+func (LoadEnded) event()          {}
+func (PeerMessage) event()        {}
+func (PeerReports) event()        {}
+func (PoolsChanged) event()       {}
+func (EndpointsStale) event()     {}
+func (EndpointsConfirmed) event() {}
+func (Shutdown) event()           {}
+func (StateRestored) event()      {}
--- a/routing/feedback.go
+++ b/routing/feedback.go
@@ -43,12 +43,13 @@
 	r.requests.recordEnd(ended, end.Outcome)
 	r.feedback.observeLoad(r.now, ended, end)
 	r.feedback.recordOutcome(r.now, r.rng, ended, end)
+	r.renewByAttempt(ended, end.Outcome)
 	req := ended.request
 	switch {
 	case end.RequestAnswered || req.answered:
 		r.complete(req)
 	case req.streaming && req.inFlight == 0:
-		r.rejectOrFail(req)
+		r.rejectOrFail(req, StreamBroken)
 	case req.inFlight == 0:
 		r.queue.enqueue(req) // drainQueue ends it if it is too late for another attempt
 	}
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -158,7 +158,7 @@
 // once. If there is none, a worker that the function has left stands in.
 func (p *picker) pickForLoad(now time.Duration, rng *rand.Rand, req *request, exists bool) *worker {
 	var first, spare *worker
-	for i, candidate := range p.endpoints.rendezvousOrder(req.function) {
+	for i, candidate := range p.endpoints.leasedOrder(now, req.function) {
 		tooMany := i >= maxCandidates && len(req.attempts) == 0
 		if tooMany || first != nil && !exists {
 			break
@@ -221,7 +221,7 @@
 
 // accepts reports whether a worker may be sent this request.
 func (p *picker) accepts(now time.Duration, rng *rand.Rand, req *request, w *worker) bool {
-	return w.eligible(now) && p.mayAttempt(now, rng, req, w) && !req.lastFailedAt(w) &&
+	return p.endpoints.eligible(now, w) && p.mayAttempt(now, rng, req, w) && !req.lastFailedAt(w) &&
 		!p.avoids(now, req, w) && req.function.pool.Has(w.ID)
 }
 
@@ -257,15 +257,18 @@
 // preferredWorkers are the workers that a function is spread over: the first of its rendezvous order, as
 // many as its part of the requests warrants, so that all schedulers choose much the same. Where one is under
 // pressure, the next in the order takes its place: it looks so to all schedulers.
-func (p *picker) preferredWorkers(now time.Duration, fn *function) []*worker {
-	order := p.endpoints.rendezvousOrder(fn)
+func (p *picker) preferredWorkers(now time.Duration, called *function) []*worker {
+	order := p.endpoints.rendezvousOrder(called)
 	// Few requests prove little: what chance alone could have brought is left out.
-	requests := p.placements.requestsFor(now, fn)
+	requests := p.placements.requestsFor(now, called)
 	fraction := max(0, requests-math.Sqrt(requests)) / max(p.placements.totalRequests(now), 1)
 	wanted := max(1, int(math.Ceil(fraction*spreadFactor*float64(len(order)))))
 	var preferred []*worker
-	for _, w := range order[:min(len(order), wanted+maxCandidates)] {
-		if len(preferred) < wanted && !p.isDisplaced(now, fn.placementAt(w)) {
+	for i, w := range p.endpoints.leasedOrder(now, called) {
+		if i >= wanted+maxCandidates || len(preferred) >= wanted {
+			break
+		}
+		if !p.isDisplaced(now, called.placementAt(w)) {
 			preferred = append(preferred, w)
 		}
 	}
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -65,8 +65,13 @@
 			stuck = false
 		}
 	}
-	if req.isExpiring(r.now) || stuck || !r.retries.retryAllowed(r.now, req, r.endpoints.list) {
-		r.rejectOrFail(req)
+	switch {
+	case req.isExpiring(r.now):
+		r.rejectOrFail(req, OutOfTime)
+	case stuck:
+		r.rejectOrFail(req, NoCapacity)
+	case !r.retries.retryAllowed(r.now, req, r.endpoints.list):
+		r.rejectOrFail(req, NoFurtherTry)
 	}
 	if req.answered {
 		return true
--- a/routing/router.go
+++ b/routing/router.go
@@ -43,6 +43,8 @@
 	hedges    *hedgeCredit
 	loads     *loadBudget
 	feedback  *feedback
+
+	leaseKeeper *leaseKeeper
 }
 
 // outbox collects the actions of a Step in their order.
@@ -77,6 +79,7 @@
 	router.picker = newPicker(router)
 	router.admission = newAdmissionController(router, shortest)
 	router.feedback = newFeedback(router)
+	router.leaseKeeper = newLeaseKeeper(router)
 	return router, nil
 }
 
@@ -121,8 +124,8 @@
 // handle applies one event of a Step at this time.
 func (r *Router) handle(now time.Duration, event Event) {
 	switch event := event.(type) {
-	case WorkerList:
-		r.endpoints.apply(r.now, event)
+	case WorkerList, EndpointsConfirmed, EndpointsStale, PoolsChanged:
+		r.handleEndpoints(now, event)
 	case Request:
 		r.admit(event)
 	case StreamStarted:
@@ -135,17 +138,29 @@
 		r.placements.loadEnded(r.now, r.endpoints.byID[event.Worker], event)
 	case PeerReports:
 		r.applyPeerReports(event)
-	case EndpointsStale:
-		r.endpoints.markStale(now + event.Duration)
+	case ProbeEnded:
+		r.healthCheckEnded(event)
 	case StateRestored:
 		r.restoreState(event.State)
-	case PoolsChanged:
-		r.endpoints.poolsChanged()
 	case Shutdown:
 		r.shutdown()
 	}
 }
 
+// handleEndpoints applies an event that concerns the endpoint list.
+func (r *Router) handleEndpoints(now time.Duration, event Event) {
+	switch event := event.(type) {
+	case WorkerList:
+		r.endpoints.apply(r.now, event)
+	case EndpointsConfirmed:
+		r.confirmEndpoints(event)
+	case EndpointsStale:
+		r.endpoints.markStale(now + event.Duration)
+	case PoolsChanged:
+		r.endpoints.poolsChanged()
+	}
+}
+
 // clientCanceled gives up a request whose client has left.
 func (r *Router) clientCanceled(id string) {
 	if req := r.requests.open[id]; req != nil {
@@ -156,7 +171,7 @@
 // shutdown gives every open request its final answer.
 func (r *Router) shutdown() {
 	for _, id := range slices.Sorted(maps.Keys(r.requests.open)) {
-		r.rejectOrFail(r.requests.open[id])
+		r.rejectOrFail(r.requests.open[id], SchedulerEnding)
 	}
 }
 
@@ -173,6 +188,7 @@
 		}
 	}
 	r.slowStart.EndSurvey()
+	r.renewLeases()
 	if r.slowStart.Measure(r.now) {
 		r.endpoints.evictGone(r.now)
 		r.placements.evictIdle(r.now, r.endpoints, r.queue)
@@ -180,7 +196,7 @@
 }
 
 // refreshCapacity looks anew at which workers are eligible, and how much of their capacity is in use.
-func (r *Router) refreshCapacity() { r.fleet.refresh(r.now, r.endpoints.list, r.outliers) }
+func (r *Router) refreshCapacity() { r.fleet.refresh(r.now, r.endpoints, r.outliers) }
 
 // durationOf converts seconds.
 func durationOf(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
