Accept connections beside gnet, which ends the loop when accept fails

Cause: gnet gives up on every error of accept but EAGAIN, EINTR, ECONNRESET and ECONNABORTED, and its event loop ends with it, all open requests lost: EMFILE, ENFILE, ENOBUFS and ENOMEM alike.

Change: a goroutine of the loop's accepts and enrolls connections one by one, as dials are enrolled; gnet runs as a client engine, which listens to nothing. After a failure accepting goes on after 5 to 160 ms, doubled and half at random, with one log line a second (accept failed). Connections wait in the system's backlog meanwhile. The road not taken: keeping gnet's accept and guarding it by the account of descriptors alone, which says nothing of ENFILE and ENOBUFS; another library under the loop, which would change all of it. CloseListener takes what waits in the backlog before it closes, by a socket filter that lets nothing further begin.

--- a/cmd/calicohill/run.go
+++ b/cmd/calicohill/run.go
@@ -28,6 +28,7 @@
 	signals := subscribeSignals()
 	sched.restoreSnapshot()
 	sched.loop.Accept = sched.server.Accept
+	sched.loop.AcceptFailed = sched.server.AcceptFailed
 	sched.loop.Stalled = sched.watcher.Stalled
 	sched.watcher.OnStale = sched.dispatcher.MarkStale
 	sched.watcher.OnConfirmed = sched.dispatcher.ConfirmEndpoints
--- a/internal/frontend/fastcgi/admission.go
+++ b/internal/frontend/fastcgi/admission.go
@@ -23,6 +23,9 @@
 	return accepted
 }
 
+// AcceptFailed notes that a connection could not be accepted; it waits, and is accepted later.
+func (s *Server) AcceptFailed(err error) { s.warn("accept failed", err) }
+
 // evictConn closes the connection that will be missed least, and reports whether there was one.
 func (s *Server) evictConn() bool {
 	victim := s.conns.evictionCandidate(s.loop.Now())
--- /dev/null
+++ b/internal/runtime/eventloop/accept_test.go
@@ -0,0 +1,149 @@
+package eventloop_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"calicohill/internal/runtime/eventloop"
+
+	"github.com/panjf2000/gnet/v2"
+)
+
+// failingListener is a listener whose accepts fail while it has an error.
+type failingListener struct {
+	eventloop.Listener
+	err atomic.Pointer[error]
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if err := l.err.Load(); err != nil {
+		return nil, *err
+	}
+	conn, err := l.Listener.Accept()
+	if failure := l.err.Load(); err == nil && failure != nil { // it waited since before
+		conn.Close()
+		return nil, *failure
+	}
+	return conn, err
+}
+
+// setError has accepts fail with an error of the system call; nil ends that.
+func (l *failingListener) setError(err error) {
+	if err == nil {
+		l.err.Store(nil)
+		return
+	}
+	failure := error(&net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)})
+	l.err.Store(&failure)
+}
+
+// quietEcho is an echo that notes no close.
+type quietEcho struct{ echo }
+
+func (quietEcho) Closed(gnet.Conn, error) {}
+
+// exchange sends a line on a connection and expects it back.
+func exchange(t *testing.T, conn net.Conn) {
+	t.Helper()
+	const line = "hello\n"
+	if err := conn.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, line); err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, len(line))
+	if _, err := io.ReadFull(conn, got); err != nil || string(got) != line {
+		t.Fatalf("got %q, %v", got, err)
+	}
+}
+
+// Whatever an accept fails with, open connections are served and accepting goes on, with pauses in between. What connected
+// meanwhile is served afterwards.
+func TestAcceptErrors(t *testing.T) {
+	for _, failure := range []error{
+		syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM, errors.New("unknown"),
+	} {
+		t.Run(failure.Error(), func(t *testing.T) {
+			loop := eventloop.New()
+			listener := &failingListener{}
+			listen := loop.Listen
+			loop.Listen = func(addr string) (eventloop.Listener, error) {
+				tcp, err := listen(addr)
+				listener.Listener = tcp
+				return listener, err
+			}
+			failures := make(chan error, 1000)
+			loop.AcceptFailed = func(err error) { failures <- err }
+			addr := startLoop(t, loop, quietEcho{})
+			open := dial(t, addr)
+			exchange(t, open)
+			listener.setError(failure)
+			nudge := dial(t, addr) // ends the accept that waits
+			nudge.Close()
+			for range 4 {
+				if err := receive(t, failures); !errors.Is(err, failure) {
+					t.Errorf("reported %v, want %v", err, failure)
+				}
+				exchange(t, open)
+			}
+			waiting := dial(t, addr)
+			listener.setError(nil)
+			exchange(t, waiting)
+		})
+	}
+}
+
+// While accepts keep failing there are few of them: the pauses grow.
+func TestAcceptBackoff(t *testing.T) {
+	loop := eventloop.New()
+	listener := &failingListener{}
+	listen := loop.Listen
+	loop.Listen = func(addr string) (eventloop.Listener, error) {
+		tcp, err := listen(addr)
+		listener.Listener = tcp
+		listener.setError(syscall.ENFILE)
+		return listener, err
+	}
+	failures := make(chan time.Time, 1000)
+	loop.AcceptFailed = func(error) { failures <- time.Now() }
+	startLoop(t, loop, quietEcho{})
+	first := receive(t, failures)
+	const more = 7 // pauses of at least half of 5, 10, ... 160, 160 ms
+	last := first
+	for range more {
+		last = receive(t, failures)
+	}
+	if took := last.Sub(first); took < 235*time.Millisecond {
+		t.Errorf("%d accepts in a row failed within %v", more, took)
+	}
+}
+
+// Once the listener is to be closed, what has connected before is served, and nobody can connect any more.
+func TestCloseListener(t *testing.T) {
+	loop := eventloop.New()
+	addr := startLoop(t, loop, quietEcho{})
+	before := dial(t, addr)
+	loop.Post(loop.CloseListener)
+	exchange(t, before)
+	deadline := time.Now().Add(testTimeout)
+	for {
+		conn, err := net.DialTimeout("tcp", addr, 10*time.Millisecond)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			break
+		}
+		if err == nil {
+			conn.Close()
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("still listens")
+		}
+	}
+	exchange(t, before)
+}
--- a/internal/runtime/eventloop/event_loop.go
+++ b/internal/runtime/eventloop/event_loop.go
@@ -6,8 +6,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"calicohill/internal/runtime/deadline"
@@ -36,6 +38,10 @@
 
 	// Accept returns the handler of an incoming connection; nil rejects the connection.
 	Accept func(c gnet.Conn) ConnHandler
+	// Listen listens at the address that Run is given. New sets it to listen for TCP connections.
+	Listen func(addr string) (Listener, error)
+	// AcceptFailed, if set, is called on the loop for each accept that failed; accepting goes on after a pause.
+	AcceptFailed func(err error)
 	// Started is called on the loop before any other callback.
 	Started func()
 	// Logger receives gnet's own log.
@@ -47,25 +53,31 @@
 	// longest sensible value.
 	StallThreshold time.Duration
 
-	listenAddr string
-	startTime  time.Time     // carries the monotonic clock reading that Now is measured from
-	startUnix  time.Duration // startTime since the Unix epoch
-	engine     gnet.Engine
-	gnetLoop   gnet.EventLoop // nil until the first connection is opened; see enrollSelf
+	acceptor  *acceptor
+	stop      chan struct{} // closed to end Run
+	stopOnce  sync.Once
+	stopped   chan struct{}  // closed when Run has ended
+	startTime time.Time      // carries the monotonic clock reading that Now is measured from
+	startUnix time.Duration  // startTime since the Unix epoch
+	gnetLoop  gnet.EventLoop // nil until the first connection is opened; see enrollSelf
 
 	timers      deadline.Queue
 	wakeup      *time.Timer   // wakes the loop for the earliest timer
 	wakeupAt    time.Duration // what wakeup is set for; 0 means not set
 	firePending bool          // fireDueTimers has been posted and has not run yet
-
-	enrolled  bool  // enrollSelf was called
-	enrollErr error // result of enrollSelf, returned by Run
 }
 
 // New returns a Loop whose clock starts now.
 func New() *Loop {
 	now := time.Now()
-	return &Loop{startTime: now, startUnix: time.Duration(now.UnixNano()), StallThreshold: MaxStallThreshold}
+	return &Loop{
+		Listen:         listenTCP,
+		StallThreshold: MaxStallThreshold,
+		startTime:      now,
+		startUnix:      time.Duration(now.UnixNano()),
+		stop:           make(chan struct{}),
+		stopped:        make(chan struct{}),
+	}
 }
 
 // UnreadFor returns how long ago the latest bytes of a connection arrived, while they wait to be read; 0 if that is not
@@ -83,22 +95,40 @@
 
 // Run listens on a TCP address and serves until Stop is called.
 func (l *Loop) Run(addr string) error {
-	l.listenAddr = addr
-	// With SO_REUSEPORT, a gnet engine with one event loop also accepts on that loop. With SO_REUSEADDR, connections
-	// of the previous process that have not quite ended don't keep a restart from listening.
-	err := gnet.Run(l, "tcp://"+addr, gnet.WithReusePort(true), gnet.WithReuseAddr(true), gnet.WithNumEventLoop(1),
-		gnet.WithTicker(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(l.Logger))
+	defer close(l.stopped)
+	listener, err := l.Listen(addr)
+	if err != nil {
+		return fmt.Errorf("event loop: %w", err)
+	}
+	l.acceptor = newAcceptor(listener, l.adopt, l.acceptFailed)
+	// A gnet client is an engine that accepts nothing itself.
+	client, err := gnet.NewClient(l, gnet.WithNumEventLoop(1), gnet.WithLogger(l.Logger))
 	if err == nil {
-		err = l.enrollErr
+		err = client.Start()
 	}
 	if err != nil {
+		return fmt.Errorf("event loop: %w", errors.Join(err, listener.Close()))
+	}
+	err = enrollSelf(client, addr)
+	if err == nil {
+		go l.acceptor.run()
+		<-l.stop
+		l.acceptor.close()
+	} else {
+		_ = listener.Close()
+	}
+	if err = errors.Join(err, client.Stop()); err != nil {
 		return fmt.Errorf("event loop: %w", err)
 	}
 	return nil
 }
 
-// Stop ends Run. It is safe to call from any goroutine, but must not be waited for on the loop.
-func (l *Loop) Stop() error { return l.engine.Stop(context.Background()) }
+// Stop ends Run and waits for its end. It is safe to call from any goroutine but the loop's.
+func (l *Loop) Stop() error {
+	l.stopOnce.Do(func() { close(l.stop) })
+	<-l.stopped
+	return nil
+}
 
 // Post schedules a function to be called on the loop, after the callback that is running there. It is safe for
 // concurrent use. Once the loop has stopped, the function is dropped.
--- a/internal/runtime/eventloop/gnet_events.go
+++ b/internal/runtime/eventloop/gnet_events.go
@@ -1,55 +1,21 @@
 package eventloop
 
 import (
-	"context"
 	"net"
-	"time"
 
 	"github.com/panjf2000/gnet/v2"
 )
 
-const (
-	// tickInterval is the pause between ticks after the first, which is the only one that does anything.
-	tickInterval = 24 * time.Hour
-	// shutdownTick is the pause reported with a shutdown; no tick follows it.
-	shutdownTick = time.Hour
-)
-
-// OnBoot implements gnet.EventHandler. It keeps the engine for Stop and enrollSelf.
-func (l *Loop) OnBoot(engine gnet.Engine) gnet.Action {
-	l.engine = engine
-	return gnet.None
-}
-
-// OnTick implements gnet.EventHandler. gnet calls it once the engine has started, on a goroutine of its own.
-//
-// gnet reveals its event loop only to a connection, so the program registers a socket of its own. Doing so earlier, in
-// OnBoot, would race with the start of the engine.
-func (l *Loop) OnTick() (time.Duration, gnet.Action) {
-	if !l.enrolled {
-		l.enrolled = true
-		if err := l.enrollSelf(); err != nil {
-			l.enrollErr = err
-			return shutdownTick, gnet.Shutdown
-		}
-	}
-	return tickInterval, gnet.None
-}
-
-// enrollSelf registers a UDP socket, whose connection gives OnOpen access to gnet's event loop. The socket is closed at
-// once: nothing is ever sent or read there. A pair of Unix sockets would need no address, but the platform knows TCP and UDP
-// alone.
-func (l *Loop) enrollSelf() error {
-	conn, err := net.Dial("udp", l.listenAddr)
-	if err != nil {
-		return err
-	}
-	ctx := gnet.NewNetConnContext(gnet.NewContext(context.Background(), selfHandler{}), conn)
-	registered, err := l.engine.Register(ctx)
+// enrollSelf registers a UDP socket, whose connection gives OnOpen access to gnet's event loop: gnet reveals it only to a
+// connection. The socket is closed at once: nothing is ever sent or read there. A pair of Unix sockets would need no
+// address, but the platform knows TCP and UDP alone.
+func enrollSelf(client *gnet.Client, listenAddr string) error {
+	conn, err := net.Dial("udp", listenAddr)
 	if err != nil {
 		return err
 	}
-	return (<-registered).Err
+	_, err = client.EnrollContext(conn, selfHandler{})
+	return err
 }
 
 // selfHandler handles the socket that enrollSelf registers.
