Repeat dials that fail for a fault of this machine, and eject no worker for them

Cause: every failed dial counted as the worker's failure. A socket that could not be made (EMFILE, ENFILE, ENOBUFS), or a connect without a local address or route (EADDRNOTAVAIL, ENETUNREACH), ejected a healthy worker for a second.

Change: package localfault tells such errors apart. The pool repeats the dial after 5 ms, doubling, six times, while calls wait for it; after that a want of resources says nothing of the worker (not sent), and a missing route counts as not reached, since it may concern that worker alone.

--- a/internal/nodeagent/dialer.go
+++ b/internal/nodeagent/dialer.go
@@ -12,6 +12,10 @@
 	reservedConnsDivisor = 2
 	// dialBackoff is how long no extra connection is added to those of a worker after a dial has failed.
 	dialBackoff = time.Second
+	// minRedialPause is the pause before a dial that failed for a fault of this machine is repeated. It doubles with each
+	// such failure in a row, of which maxRedials are made up for.
+	minRedialPause = 5 * time.Millisecond
+	maxRedials     = 6
 	// descriptorsPerDial is how many file descriptors a dial holds for a moment.
 	descriptorsPerDial = 2
 )
@@ -19,8 +23,7 @@
 // dialer opens connections within the limits of connections and file descriptors, and queues the dials that have to wait
 // for descriptors. It belongs to a Pool and is used on the event loop only. A worker is in the queue once at most.
 //
-// Without the bound on descriptors the program could run out of them, and gnet ends its event loop when it cannot accept a
-// client.
+// Without the bound on descriptors the program could run out of them, and could not accept clients.
 type dialer struct {
 	maxConns       int           // connections to all workers
 	maxDescriptors int           // file descriptors for connections and dials
@@ -36,6 +39,17 @@
 	inProgress int
 	// noExtraConnUntil is when a connection may again be added to the existing ones, after a dial has failed.
 	noExtraConnUntil time.Duration
+	redials          int // dials repeated since one succeeded, or failed for the worker
+}
+
+// nextRedial returns the pause before a dial is repeated that failed for a fault of this machine, and whether it is.
+func (d *workerDials) nextRedial() (pause time.Duration, more bool) {
+	if d.redials >= maxRedials {
+		return 0, false
+	}
+	pause = minRedialPause << d.redials
+	d.redials++
+	return pause, true
 }
 
 // dial starts a dial to a worker, or queues it until there are file descriptors for it.
@@ -54,6 +68,7 @@
 // opened records that a dial has succeeded.
 func (d *dialer) opened(established *conn) {
 	established.target.dials.inProgress--
+	established.target.dials.redials = 0
 	d.inProgress--
 	d.conns[established] = struct{}{}
 }
@@ -61,6 +76,7 @@
 // failed records that a dial to a worker has failed.
 func (d *dialer) failed(target *worker, now time.Duration) {
 	target.dials.inProgress--
+	target.dials.redials = 0
 	d.inProgress--
 	target.dials.noExtraConnUntil = now + dialBackoff
 }
--- a/internal/nodeagent/pool.go
+++ b/internal/nodeagent/pool.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"calicohill/internal/dispatch"
+	"calicohill/internal/runtime/deadline"
 	"calicohill/internal/runtime/eventloop"
+	"calicohill/internal/runtime/localfault"
 	"calicohill/internal/runtime/slotmap"
 	"calicohill/routing"
 
@@ -149,17 +151,39 @@
 	p.loop.Dial(target.addr, p.options.ConnectTimeout, dialed, func(err error) { p.dialFailed(target, err) })
 }
 
-// dialFailed ends the calls that no other connection can carry, if no other dial to the worker is in progress.
+// dialFailed tries a dial that failed for a fault of this machine again. Otherwise it ends the calls that no other
+// connection can carry, if no other dial to the worker is in progress: as failed to connect, if that says anything of the
+// worker.
 func (p *Pool) dialFailed(target *worker, err error) {
+	fault := localfault.KindOf(err)
+	if fault != localfault.None && p.redial(target) {
+		return
+	}
 	p.dialer.failed(target, p.loop.Now())
 	p.log.WithError(err).WithField("worker", target.id).Warn("agent not reached")
 	if target.dials.inProgress == 0 {
 		p.writePending(target) // other connections may have become usable meanwhile
-		p.failPending(target, routing.ConnectFailed)
+		outcome := routing.ConnectFailed
+		if fault == localfault.Resource {
+			outcome = routing.NotSent
+		}
+		p.failPending(target, outcome)
 	}
 	p.dialer.startQueued()
 }
 
+// redial repeats a dial after a pause that doubles, and reports whether it does: not for ever, and only while calls wait
+// for it.
+func (p *Pool) redial(target *worker) bool {
+	pause, more := target.dials.nextRedial()
+	if !more || len(target.pending) == 0 || !target.isReady() {
+		return false
+	}
+	timer := &deadline.Timer{Fire: func() { p.connect(target) }}
+	p.loop.SetDeadline(timer, p.loop.Now()+pause)
+	return true
+}
+
 // idleLimitChanged checks all connections at once after a change of how long they may be idle.
 func (p *Pool) idleLimitChanged() {
 	p.log.WithField("rest", p.idle.limit).Info("agent connections: maximum idle time changed")
--- /dev/null
+++ b/internal/runtime/localfault/localfault_test.go
@@ -0,0 +1,34 @@
+package localfault_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+
+	"calicohill/internal/runtime/localfault"
+)
+
+func TestKindOf(t *testing.T) {
+	for err, want := range map[error]localfault.Kind{
+		syscall.EMFILE:        localfault.Resource,
+		syscall.ENFILE:        localfault.Resource,
+		syscall.ENOBUFS:       localfault.Resource,
+		syscall.EADDRNOTAVAIL: localfault.Route,
+		syscall.ENETUNREACH:   localfault.Route,
+		syscall.ECONNREFUSED:  localfault.None,
+		syscall.EHOSTUNREACH:  localfault.None,
+		syscall.ETIMEDOUT:     localfault.None,
+		io.EOF:                localfault.None,
+	} {
+		wrapped := fmt.Errorf("dial: %w", &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", err)})
+		if got := localfault.KindOf(wrapped); got != want {
+			t.Errorf("%v: kind %d, want %d", err, got, want)
+		}
+	}
+	if got := localfault.KindOf(nil); got != localfault.None {
+		t.Errorf("no error: kind %d, want none", got)
+	}
+}
