End before the platform's kill while clients go on over open connections

Cause: the drainer ended only when a check found no open request. Clients that go on over open connections, as they do until the kill, always have one open; the kill came and found requests unanswered.

Change: phases. A client whose request crosses such a close finds nobody listening.

--- a/cmd/calicohill/shutdown.go
+++ b/cmd/calicohill/shutdown.go
@@ -55,8 +55,20 @@
 	return max(min(longestDeadline, minKillDelay)-killMargin, 0)
 }
 
+// drainPhase is how far a drainer has come.
+type drainPhase int
+
+const (
+	serving        drainPhase = iota
+	listenerClosed            // no new connections come; requests on open ones are served
+	refusing                  // nothing further is served, and connections are closed
+)
+
 // drainer ends a scheduler gracefully: it stops the loop once requests have ceased to arrive, all are answered, and the
 // answers are sent. Requests that are open for too long are answered without having been served. It runs on the loop.
+//
+// Connections are closed only after the listener: a client whose request crosses the close connects again, and is to find
+// nobody rather than a process that is about to end.
 type drainer struct {
 	loop       *eventloop.Loop
 	dispatcher *dispatch.Dispatcher
@@ -64,6 +76,7 @@
 	closeAfter time.Duration
 
 	timer    deadline.Timer
+	phase    drainPhase
 	started  time.Duration
 	lastBusy time.Duration // when a check last found a request that was open or arriving
 	checks   int
@@ -77,23 +90,45 @@
 	d.loop.SetDeadline(&d.timer, d.started+drainDelay)
 }
 
-// check stops the loop if nothing is left to do, and otherwise has itself called again.
+// check goes on to the next phase if nothing is left to do in this one or its time is over, and has itself called again until
+// the loop is stopped.
 func (d *drainer) check() {
 	now := d.loop.Now()
 	d.checks++
-	open := d.dispatcher.OpenRequests() > 0
-	if open || d.requestsArriving(now) && d.checks < maxPartialChecks {
-		d.lastBusy = now
-	}
-	if open && now-d.started >= drainDelay+d.closeAfter {
-		d.dispatcher.Shutdown()
-	}
-	flushing := d.server.UnsentBytes() > 0 && now-d.lastBusy < flushTimeout
-	if d.lastBusy == now || flushing {
-		d.loop.SetDeadline(&d.timer, now+idleCheckInterval)
+	idle := d.isIdle(now)
+	// Clients that go on over open connections, as they do until the kill, always have a request open.
+	refuseAt := d.started + drainDelay + d.closeAfter
+	switch {
+	case d.phase == serving && (idle || now >= refuseAt-idleCheckInterval):
+		d.phase = listenerClosed
+		d.loop.CloseListener()
+	case d.phase == listenerClosed && (idle || now >= refuseAt):
+		d.phase = refusing
+		d.refuse()
+	case d.phase == refusing && idle:
+		go d.stop()
 		return
+	case d.phase == refusing:
+		d.refuse()
 	}
-	go d.stop()
+	d.loop.SetDeadline(&d.timer, now+idleCheckInterval)
+}
+
+// isIdle reports whether no request is open or arriving, and all answers are sent. While further requests are refused it does
+// not matter whether some arrive.
+func (d *drainer) isIdle(now time.Duration) bool {
+	arriving := d.phase != refusing && d.checks < maxPartialChecks && d.requestsArriving(now)
+	if d.dispatcher.OpenRequests() > 0 || arriving {
+		d.lastBusy = now
+		return false
+	}
+	return d.server.UnsentBytes() == 0 || now-d.lastBusy >= flushTimeout
+}
+
+// refuse has nothing further served, and gives what is open its final answer.
+func (d *drainer) refuse() {
+	d.server.Drain()
+	d.dispatcher.Shutdown()
 }
 
 // requestsArriving reports whether a request is partly read, or clients have sent something since the last check.
--- a/internal/frontend/fastcgi/connection.go
+++ b/internal/frontend/fastcgi/connection.go
@@ -35,6 +35,7 @@
 	established bool    // a request was complete on it, or was answered
 	listing     listing // the connTable's
 
+	reading       bool           // records that were read are being handled
 	timer         deadline.Timer // for input or, while the connection lingers, for output
 	awaitingInput bool           // timer is set for the first request, or for the rest of a record
 	closeWhenIdle bool           // close it once no request is open
@@ -52,14 +53,28 @@
 		return nil
 	}
 	c.unreadFor = eventloop.UnreadFor(socket)
+	c.reading = true
 	for {
 		more, err := c.readRecord(socket)
 		if err != nil || !more {
+			c.reading = false
+			c.closeIfDrained()
 			return err
 		}
 	}
 }
 
+// closeIfDrained closes a connection of a server that drains, if nothing is open on it: no request, no part of one that was
+// read already, and no answer that is not sent.
+func (c *conn) closeIfDrained() {
+	if !c.server.draining || c.socket == nil || c.reading || c.awaitingInput || len(c.requests) > 0 {
+		return
+	}
+	if c.socket.OutboundBuffered() == 0 {
+		c.close()
+	}
+}
+
 // readRecord handles the next record if all of it has arrived, and reports whether another may follow it.
 func (c *conn) readRecord(socket gnet.Conn) (more bool, err error) {
 	buf, _ := socket.Peek(-1) // it is an error only to ask for more than there is
@@ -154,6 +169,7 @@
 	if c.closeWhenIdle && len(c.requests) == 0 {
 		c.closeWhenSent()
 	}
+	c.closeIfDrained()
 }
 
 // startInputTimer bounds the wait for the first request, or for the rest of a record. It does not extend a wait that has
--- a/internal/frontend/fastcgi/connection_table.go
+++ b/internal/frontend/fastcgi/connection_table.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/list"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -16,7 +18,7 @@
 // a Server and is used on the event loop only.
 type connTable struct {
 	maxConns       int
-	count          int
+	open           map[*conn]struct{}
 	withoutRequest orderedList[*conn] // no request was complete on it yet; in the order they were accepted
 	idle           orderedList[*conn] // the others without an open request; in the order they became idle
 }
@@ -29,17 +31,20 @@
 }
 
 // isFull reports whether as many connections are open as may be.
-func (t *connTable) isFull() bool { return t.count >= t.maxConns }
+func (t *connTable) isFull() bool { return len(t.open) >= t.maxConns }
+
+// list returns all open connections.
+func (t *connTable) list() []*conn { return slices.Collect(maps.Keys(t.open)) }
 
 // add adds a connection that was accepted now.
 func (t *connTable) add(accepted *conn, now time.Duration) {
-	t.count++
+	t.open[accepted] = struct{}{}
 	t.update(accepted, now)
 }
 
 // remove removes a connection that is closed.
 func (t *connTable) remove(closed *conn) {
-	t.count--
+	delete(t.open, closed)
 	t.unlist(closed)
 }
 
--- a/internal/frontend/fastcgi/request.go
+++ b/internal/frontend/fastcgi/request.go
@@ -173,6 +173,10 @@
 // submit hands the request to the dispatcher.
 func (r *request) submit() {
 	server := r.conn.server
+	if server.draining {
+		r.respond(http.StatusServiceUnavailable, "", nil)
+		return
+	}
 	r.call.Body = r.body
 	// The client's time runs from its last byte, which may have waited to be read.
 	r.call.TimeLeft = max(r.call.TimeLeft-r.conn.unreadFor, 0)
--- a/internal/frontend/fastcgi/server.go
+++ b/internal/frontend/fastcgi/server.go
@@ -57,6 +57,7 @@
 	requests   slotmap.Table[*request] // that have begun and not ended
 	unsent     unsentConns
 
+	draining     bool          // Drain was called
 	lastReceived time.Duration // when bytes last came from a client, or a client connected
 	scratch      []byte        // reused for what is written
 }
@@ -82,7 +83,7 @@
 		maxUnsentBytes: options.MaxUnsentBytes,
 		log:            logging.RateLimited{Log: options.Log},
 		rulesLog:       logging.RateLimited{Log: options.RulesLog},
-		conns:          connTable{maxConns: options.MaxConns},
+		conns:          connTable{maxConns: options.MaxConns, open: map[*conn]struct{}{}},
 		unsent:         unsentConns{conns: map[*conn]struct{}{}},
 	}
 	for class, name := range options.Deployment.ClassNames {
@@ -97,6 +98,16 @@
 // LastReceived returns when bytes last came from a client, or a client connected.
 func (s *Server) LastReceived() time.Duration { return s.lastReceived }
 
+// Drain has no further request served, since the process is about to end: each is rejected as it comes, and a connection is
+// closed once no request is open on it and its answers are sent, so that its client goes elsewhere. A request that crosses
+// such a close is sent again by its client. Connections whose answers were not sent yet are looked at by the next call.
+func (s *Server) Drain() {
+	s.draining = true
+	for _, c := range s.conns.list() {
+		c.closeIfDrained()
+	}
+}
+
 // noteReceived notes that bytes came from a client now, or a client connected.
 func (s *Server) noteReceived() { s.lastReceived = s.loop.Now() }
 
