Bound start times of workers by when the list was confirmed

Cause: boot_ms comes from another clock, and either may be stepped. An hour ahead kept a worker in slow start for an hour; an hour back let a cold worker have its full share at once.

Change: a start that a change of the list tells is not in the future, and not more than 2 s before the list was confirmed without it. The first list's starts in the future count as now. Leases are renewed from 2 s before their expiry on, so that the longest poll of a large fleet does not bring the list into doubt.

--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"cmp"
 	"iter"
 	"slices"
 	"time"
@@ -15,6 +14,9 @@
 	"calicohill/routing/slowstart"
 )
 
+// maxListingDelay is how long after its start a worker is listed at the latest.
+const maxListingDelay = 2 * time.Second
+
 // resubscribeDelay is the time from a failed list call to the next subscription.
 const resubscribeDelay = time.Second
 
@@ -22,9 +24,12 @@
 // and for each mechanism the state that it alone writes.
 type worker struct {
 	Worker
-	listedStart time.Duration // its latest start that was listed; Started may be one that was found here
-	removedAt   time.Duration // when it was listed as Gone last
-	incarnation int           // counts restarts; what was believed of an earlier incarnation is void
+	listedStart time.Duration // its latest start that was listed
+	// plausibleStart is the same as far as it is plausible. Started is that, or a later one that was found
+	// here.
+	plausibleStart time.Duration
+	removedAt      time.Duration // when it was listed as Gone last
+	incarnation    int           // counts restarts; what was believed of an earlier incarnation is void
 
 	inFlight     []*attempt // attempts without an end, oldest first
 	loadsWaiting int        // those that wait for a load; they don't count against the limit
@@ -94,16 +99,38 @@
 	}
 }
 
+// plausibleStart corrects the start time of a worker that a change of the list has told. It comes from
+// another clock, which may have been stepped since: a start is not in the future, and one that the list did
+// not have when it was confirmed last was not long before that.
+func (t *endpointTable) plausibleStart(now, started time.Duration) time.Duration {
+	if started <= 0 || !t.leases.Limited() {
+		return started
+	}
+	return min(max(started, t.leases.ConfirmedAt()-maxListingDelay), now)
+}
+
+// correctStarts corrects start times in the future of the first list, which came before any confirmation.
+func (t *endpointTable) correctStarts(now time.Duration) {
+	for _, w := range t.list {
+		if w.Started > now {
+			w.Started = now
+			w.plausibleStart = now
+		}
+	}
+}
+
 // applyEntry takes in one entry of an endpoint list.
 func (t *endpointTable) applyEntry(now time.Duration, entry Worker) {
 	known := t.byID[entry.ID]
 	if known == nil {
 		known = &worker{
-			Worker:      entry,
-			listedStart: entry.Started,
-			limit:       concurrency.NewWorker(t.schedulers),
-			health:      outlier.NewWorker(now),
+			Worker:         entry,
+			listedStart:    entry.Started,
+			plausibleStart: t.plausibleStart(now, entry.Started),
+			limit:          concurrency.NewWorker(t.schedulers),
+			health:         outlier.NewWorker(now),
 		}
+		known.Started = known.plausibleStart
 		t.byID[entry.ID] = known
 		t.list = insertSorted(t.list, known, func(w *worker) string { return w.ID })
 		return
@@ -111,8 +138,12 @@
 	if entry.Started != known.listedStart && entry.Started > 0 {
 		known.restart(t.schedulers)
 		known.lease.Restart()
+		known.listedStart = entry.Started
+		known.plausibleStart = t.plausibleStart(now, entry.Started)
+	}
+	if entry.Started > 0 {
+		entry.Started = known.plausibleStart
 	}
-	known.listedStart = cmp.Or(entry.Started, known.listedStart)
 	if entry.State == Gone {
 		// An entry that says Gone need not say anything else: what was known of the worker stays.
 		known.remove(now)
--- a/routing/lease.go
+++ b/routing/lease.go
@@ -44,6 +44,9 @@
 
 // confirmEndpoints takes in that the endpoint list was complete at a time.
 func (r *Router) confirmEndpoints(event EndpointsConfirmed) {
+	if !r.endpoints.leases.Limited() {
+		r.endpoints.correctStarts(r.now)
+	}
 	r.endpoints.leases.Confirm(event.AsOf)
 	r.refreshCapacity()
 }
--- a/routing/lease/lease.go
+++ b/routing/lease/lease.go
@@ -20,7 +20,7 @@
 	// and then written a little later.
 	expiryMargin = 100 * time.Millisecond
 	// renewBefore is how long before its expiry a lease is to be renewed: time for several health checks.
-	renewBefore = 2500 * time.Millisecond
+	renewBefore = 2 * time.Second
 	// minCheckInterval is the least time between two health checks of a worker by one scheduler.
 	minCheckInterval = time.Second
 	// After quickChecks checks in a row that renewed nothing the interval doubles with each, up to
@@ -67,6 +67,9 @@
 	t.confirmedAt = max(t.confirmedAt, asOf)
 }
 
+// Limited reports whether leases expire: the list was confirmed once.
+func (t *Table) Limited() bool { return t.limited }
+
 // ConfirmedAt is when the list is known to have been complete.
 func (t *Table) ConfirmedAt() time.Duration { return t.confirmedAt }
 
