Add a soak of overlapping faults, and hold drains through outages in the testbed

Cause: the testbed's own check of drains waited for the end of the list service's fault before a drain counted as announced, and its workers went on serving while they drained: it could not have seen the incident.

Change: an event counts as delivered 7 s after its publication whatever becomes of the service; workers that drain reject requests and say DOWN. testbed soak draws scenarios from a seed: outages of up to 16 s with drains and restarts in them, other faults of the list, kills, rolling restarts, pauses, SIGHUP and SIGUSR1 in series, links, faults of workers, a crowd with every fifth seed and short deadlines with every third. After SIGTERM fronts use open connections until the kill 3.7 s later. Not checked by it: attempts after a cancel, repeats of a key within its window; failing seeds are not shrunk.

--- a/cmd/calicohill/harness_scheduler_test.go
+++ b/cmd/calicohill/harness_scheduler_test.go
@@ -26,9 +26,6 @@
 	return platform.Settings{Schedulers: 1, IdleCloseMillis: 15_000, InstanceIdleMillis: 9_000}
 }
 
-// allowHealthChecks is an edit of the settings by which schedulers may ask workers for their health.
-var allowHealthChecks = [2]string{`"cancel":true`, `"cancel":true,"probes":true`}
-
 // testScheduler is a process of the program with its configuration, and with the endpoint list service that it polls.
 type testScheduler struct {
 	t       *testing.T
--- a/cmd/calicohill/list_outage_test.go
+++ b/cmd/calicohill/list_outage_test.go
@@ -56,8 +56,8 @@
 	sched := newTestScheduler(t)
 	sched.settingsEdits = [][2]string{
 		{`"stopSendingWithinMs":1000`, fmt.Sprintf(`"stopSendingWithinMs":%d`, grace.Milliseconds())},
-		allowHealthChecks,
 	}
+	sched.settings.HealthChecks = true
 	var targets []string
 	for _, name := range []string{"a", "b", "c"} {
 		agents[name] = newAgent(t, answerWith(name))
--- a/cmd/calicohill/snapshot_test.go
+++ b/cmd/calicohill/snapshot_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	file := filepath.Join(dir, "n0.list")
 	sched := newTestScheduler(t)
-	sched.settingsEdits = [][2]string{allowHealthChecks}
+	sched.settings.HealthChecks = true
 	sched.operatorFile = filepath.Join(t.TempDir(), "own.conf")
 	text := "state\n  snapshot " + file + "\n  fleet gt-registros\n  max-age 1h\n"
 	if err := os.WriteFile(sched.operatorFile, []byte(text), 0o600); err != nil {
@@ -88,7 +88,7 @@
 func TestSnapshotOfUnknownAge(t *testing.T) {
 	agent := newAgent(t, answerWith("a"))
 	sched, file := newSchedulerWithSnapshot(t, t.TempDir())
-	sched.settingsEdits = nil
+	sched.settings.HealthChecks = false
 	sched.addEvent(true, "a SERVING "+agent.addr)
 	sched.addEvent(false, "a SERVING "+agent.addr)
 	sched.start()
--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -24,7 +24,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "testbed", Short: "Experiments with fleets of calicohill", SilenceErrors: true, SilenceUsage: true}
-	root.AddCommand(gossipCommand(), matchCommand(), coldstartCommand())
+	root.AddCommand(gossipCommand(), matchCommand(), coldstartCommand(), soakCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "testbed:", err)
 		return 1
--- a/internal/testbed/experiment/invariants.go
+++ b/internal/testbed/experiment/invariants.go
@@ -17,6 +17,11 @@
 	machineSlack = 150 * time.Millisecond
 	// maxAnswerDelay is by how much a response may come after its client's time, as in docs: later it counts as lost.
 	maxAnswerDelay = 500 * time.Millisecond
+	// publicationBound is how long after its publication an event counts as delivered at the latest, whatever becomes of the
+	// list service.
+	publicationBound = 7 * time.Second
+	// maxTimeoutExcess is by how much the time that a scheduler tells a worker may exceed what is left of the client's.
+	maxTimeoutExcess = 150 * time.Millisecond
 	// drainGrace is how long a scheduler that was notified of a drain may still send new requests to the worker.
 	drainGrace = time.Second
 	// maxAttempts is how many attempts a request may have.
@@ -62,7 +67,7 @@
 	}
 	for id, count := range checker.executions {
 		if count > 1 {
-			checker.addViolation("certificado %s reached workers %d times", id, count)
+			checker.addViolation("certificado %s ran on workers %d times", id, count)
 		}
 	}
 	sort.Strings(checker.violations)
@@ -82,7 +87,7 @@
 	departure, leaves := c.fleet.Departure(worker)
 	for _, arrival := range worker.Arrivals() {
 		c.attempts[arrival.ID]++
-		if arrival.Class == nonIdempotentClass {
+		if arrival.Class == nonIdempotentClass && !arrival.Rejected {
 			c.executions[arrival.ID]++
 		}
 		if leaves {
@@ -94,29 +99,24 @@
 // checkDrain checks that a request for a worker that leaves was sent in time.
 func (c *ruleChecker) checkDrain(worker *standin.Worker, departure process.Departure, arrival standin.Arrival) {
 	notifiedAt := c.notifiedAt(departure, arrival)
-	if notifiedAt.IsZero() {
-		return
-	}
-	sentAt := arrival.At
-	if link := c.fleet.LinkTo(arrival.From, worker.ID); link != nil {
-		sentAt = link.SentAt(arrival.At)
-	}
+	sentAt := sentToWorkerAt(c.fleet, worker, arrival)
 	if late := sentAt.Sub(notifiedAt.Add(drainGrace + c.slack)); late > 0 {
 		c.addViolation("%s sent %s to %s %v too late after its drain", arrival.From, arrival.ID, worker.ID, late.Round(time.Millisecond))
 	}
 }
 
-// notifiedAt returns when the scheduler of a request counts as notified of a departure: when it received the event, or when
-// a healthy list service should have delivered it, whichever is earlier; the zero time if neither happened. A process that
-// was started later counts as notified at its start.
+// notifiedAt returns when the scheduler of a request counts as notified of a departure: when it received the event, when a
+// healthy list service should have delivered it, or publicationBound after its publication, whichever is earliest. A process
+// that was started later counts as notified at its start.
 func (c *ruleChecker) notifiedAt(departure process.Departure, arrival standin.Arrival) time.Time {
-	notified := c.fleet.List.EffectiveAt(departure.At)
-	received := receivedAt(c.polls[arrival.From], departure.Event)
-	if !received.IsZero() && (notified.IsZero() || received.Before(notified)) {
-		notified = received
-	}
-	if notified.IsZero() {
-		return notified
+	notified := departure.At.Add(publicationBound)
+	for _, earlier := range []time.Time{
+		c.fleet.List.EffectiveAt(departure.At),
+		receivedAt(c.polls[arrival.From], departure.Event),
+	} {
+		if !earlier.IsZero() && earlier.Before(notified) {
+			notified = earlier
+		}
 	}
 	if start := c.fleet.ProcessStart(arrival.From, arrival.At); start.After(notified) {
 		notified = start
--- a/internal/testbed/platform/config.go
+++ b/internal/testbed/platform/config.go
@@ -27,15 +27,16 @@
 // Settings is the platform's settings of a scheduler, as far as they differ between the schedulers of the testbed
 // and of the program's tests.
 type Settings struct {
-	Schedulers         int // number of schedulers
-	Rank               int // of this scheduler among them
-	IdleCloseMillis    int // idle time after which a connection to a worker is closed
-	InstanceIdleMillis int // idle time after which a worker unloads an instance of a function
+	Schedulers         int  // number of schedulers
+	Rank               int  // of this scheduler among them
+	IdleCloseMillis    int  // idle time after which a connection to a worker is closed
+	InstanceIdleMillis int  // idle time after which a worker unloads an instance of a function
+	HealthChecks       bool // schedulers may ask workers for their health
 }
 
 // settingsFormat is the text of Settings, with a verb for each of its fields in their order.
 const settingsFormat = `{"balancers":%d,"rank":%d,"az":0,"tickMs":4,"dcs":["here"],"shapes":["std"],
- "ceilings":{"attemptsCap":4,"cancel":true,"secondCopies":true,"retryAfter":true,"maxRetryAfterMs":500,
+ "ceilings":{"attemptsCap":4,"cancel":true,"probes":%t,"secondCopies":true,"retryAfter":true,"maxRetryAfterMs":500,
   "multiplex":100,"idleCloseMs":%d,"connectTimeoutMs":250},
  "classes":[
   {"name":"consulta","aimMs":750,"hardLimitMs":3000,"worth":1,"lateWorth":0.1,"effect":"read_like"},
@@ -49,7 +50,7 @@
 
 // JSON returns the settings as the settings object of a Config.
 func (s Settings) JSON() []byte {
-	return fmt.Appendf(nil, settingsFormat, s.Schedulers, s.Rank, s.IdleCloseMillis, s.InstanceIdleMillis)
+	return fmt.Appendf(nil, settingsFormat, s.Schedulers, s.Rank, s.HealthChecks, s.IdleCloseMillis, s.InstanceIdleMillis)
 }
 
 // MaxGossipMessagesPerSecond is how many messages a member sends at most, by the default of the operator's file.
@@ -62,5 +63,6 @@
 		Rank:               rank,
 		IdleCloseMillis:    15_000,
 		InstanceIdleMillis: 30_000,
+		HealthChecks:       true,
 	}
 }
--- a/internal/testbed/process/fleet.go
+++ b/internal/testbed/process/fleet.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,7 @@
 	GossipThroughHub  bool // over links that scenarios change
 	LinkedWorkers     bool // each scheduler has a link of its own to each worker
 	KeepState         bool // schedulers keep their list and what they learned over a restart
+	KillAtDeadline    bool // a planned restart is followed by the kill, and fronts use open connections until then
 	ClaimedSchedulers int  // how many schedulers there are by their settings; 0 for as many as there are
 
 	List        *standin.ListService
@@ -49,6 +51,7 @@
 	departures map[*standin.Worker]Departure
 
 	mu                 sync.Mutex
+	stopErrors         []error // of planned restarts
 	links              map[linkKey]*fault.Link
 	partitionCondition fault.LinkCondition // between the schedulers of partitioned and the others
 	partitioned        map[string]bool     // gossip addresses
@@ -168,6 +171,11 @@
 			f.departures[worker] = Departure{At: time.Now(), Event: len(f.List.PublishedAt()) + 1}
 		}
 	}
+	if state == standin.EndpointDraining {
+		for _, worker := range workers {
+			worker.Drain()
+		}
+	}
 	f.List.Publish(func(number int, scheduler string) string {
 		var endpoints []standin.Endpoint
 		for _, worker := range workers {
@@ -204,6 +212,20 @@
 	return time.Time{}
 }
 
+// StopErrors returns what went wrong when instances were stopped as a planned restart does.
+func (f *Fleet) StopErrors() []error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.stopErrors)
+}
+
+// noteStopError notes what went wrong when an instance was stopped.
+func (f *Fleet) noteStopError(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopErrors = append(f.stopErrors, err)
+}
+
 // Stop ends all schedulers as a planned restart does.
 func (f *Fleet) Stop() error {
 	errs := make([]error, len(f.Instances))
--- a/internal/testbed/process/front.go
+++ b/internal/testbed/process/front.go
@@ -125,6 +125,9 @@
 
 // dial opens a connection to the instance. An error is ErrNotAccepted.
 func (f *front) dial(ctx context.Context) (*fastcgi.Client, error) {
+	if f.instance.connectionsClosed.Load() {
+		return nil, workload.ErrNotAccepted
+	}
 	client, err := fastcgi.Dial(ctx, f.instance.Addr)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", workload.ErrNotAccepted, err)
--- a/internal/testbed/process/instance.go
+++ b/internal/testbed/process/instance.go
@@ -15,6 +15,9 @@
 const (
 	// frontDrainDelay is how long after SIGTERM the front still sends.
 	frontDrainDelay = 200 * time.Millisecond
+	// killDelay is how long after SIGTERM the platform kills a scheduler at the soonest: its longest deadline, counted as
+	// 3 s at most, and 0.7 s.
+	killDelay = 3700 * time.Millisecond
 	// stopTimeout is how long a scheduler may take for a graceful shutdown.
 	stopTimeout = 20 * time.Second
 	// maxSeeds is how many instances are seeds, through which the others join.
@@ -33,9 +36,11 @@
 	configPath   string // the platform's file
 	operatorPath string // the operator's file
 
-	outOfRotation atomic.Bool  // the front sends it nothing
-	disruptedAt   atomic.Int64 // Unix nanoseconds of when it was last killed or continued; the maximum while it is stopped
-	incarnation   atomic.Int32 // counts its starts
+	outOfRotation atomic.Bool // the front sends it nothing
+	// connectionsClosed has the front open no connection to it, and use those that are open.
+	connectionsClosed atomic.Bool
+	disruptedAt       atomic.Int64 // Unix nanoseconds of when it was last killed or continued; the maximum while it is stopped
+	incarnation       atomic.Int32 // counts its starts
 
 	mu        sync.Mutex
 	latest    *process    // nil before the first start
@@ -75,6 +80,12 @@
 
 // start is Start for a caller that holds the lock.
 func (in *Instance) start() error {
+	if in.fleet.KillAtDeadline {
+		// The platform writes the configuration at each start, with the events so far.
+		if err := in.Configure(); err != nil {
+			return err
+		}
+	}
 	cmd := exec.Command(in.fleet.Program, "run", "--config", in.configPath, "--operator", in.operatorPath)
 	cmd.Env = append(append(os.Environ(), "ROUTER_CONFIG=", "ROUTER_NAME=", "ROUTER_LISTEN="), in.fleet.Env...)
 	in.Log.startProcess()
@@ -87,6 +98,7 @@
 	in.incarnation.Add(1)
 	go func() {
 		if in.waitHealthy(context.Background()) == nil {
+			in.connectionsClosed.Store(false)
 			in.outOfRotation.Store(false)
 		}
 	}()
@@ -147,6 +159,23 @@
 	return in.latestProcess().cmd.Process.Signal(signal)
 }
 
+// Serves reports whether the scheduler runs and has served since its start.
+func (in *Instance) Serves() bool { return in.runningProcess() != nil && !in.outOfRotation.Load() }
+
+// EndedByItself reports whether the scheduler ended though nobody had it end.
+func (in *Instance) EndedByItself() bool {
+	running := in.runningProcess()
+	if running == nil {
+		return false
+	}
+	select {
+	case <-running.exited:
+		return true
+	default:
+		return false
+	}
+}
+
 // disruptedSince reports whether the process was killed or stopped after a time.
 func (in *Instance) disruptedSince(at time.Time) bool { return in.disruptedAt.Load() >= at.UnixNano() }
 
@@ -172,10 +201,27 @@
 	if running == nil {
 		return nil
 	}
+	err := in.stop(running)
+	if err != nil {
+		in.fleet.noteStopError(err)
+	}
+	return err
+}
+
+// stop ends the running process as a planned restart does.
+func (in *Instance) stop(running *process) error {
 	if err := in.Signal(syscall.SIGTERM); err != nil {
 		return fmt.Errorf("scheduler %s: %w", in.Name, err)
 	}
+	timeout := stopTimeout
+	if in.fleet.KillAtDeadline {
+		timeout = killDelay + 2*time.Duration(in.fleet.wakeDelay.Load())
+	}
 	time.AfterFunc(frontDrainDelay, func() {
+		if in.fleet.KillAtDeadline {
+			in.connectionsClosed.Store(true)
+			return
+		}
 		in.outOfRotation.Store(true)
 		if time.Duration(in.fleet.wakeDelay.Load()) > frontDrainDelay {
 			in.disruptedAt.Store(time.Now().UnixNano()) // what the front sent in time may have come after the end
@@ -183,12 +229,13 @@
 	})
 	select {
 	case <-running.exited:
+		in.outOfRotation.Store(true)
 		in.noteEnd(running)
 		if running.err != nil {
 			return fmt.Errorf("scheduler %s ended with %w", in.Name, running.err)
 		}
 		return nil
-	case <-time.After(stopTimeout):
+	case <-time.After(timeout):
 		in.Kill()
 		return fmt.Errorf("scheduler %s does not end", in.Name)
 	}
--- a/internal/testbed/report/report.go
+++ b/internal/testbed/report/report.go
@@ -20,6 +20,7 @@
 func (ColdStartResult) isReport()        {}
 func (VirtualColdStartResult) isReport() {}
 func (MatchResult) isReport()            {}
+func (SoakResult) isReport()             {}
 
 // GossipResult is what experiment.Gossip measured. Times are in milliseconds, shares fractions of 1.
 type GossipResult struct {
--- a/internal/testbed/scenario/scenario.go
+++ b/internal/testbed/scenario/scenario.go
@@ -26,6 +26,7 @@
 //	4s drain SHARE                 drains workers
 //	4s replace SHARE [warming_up]  deletes workers and lists new ones, which are warm unless it says that they are warming up
 //	4s kill|stop|cont|term SHARE   sends schedulers SIGKILL, SIGSTOP, SIGCONT or SIGTERM
+//	4s hup|usr1 SHARE              sends schedulers SIGHUP or SIGUSR1
 //	4s rolling_restart SHARE PAUSE a rolling restart of all schedulers, a share at a time
 //	4s link CONDITION SHARE SHARE  changes the links between schedulers and workers: healthy, partitioned, partitioned_forward,
 //	                               partitioned_backward, hang, throttled (4,000 bytes a second), high_latency (100 to 200 ms
--- a/internal/testbed/scenario/schedulersteps.go
+++ b/internal/testbed/scenario/schedulersteps.go
@@ -1,6 +1,8 @@
 package scenario
 
 import (
+	"errors"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -16,7 +18,22 @@
 }
 
 func (r stepRun) signal(signal syscall.Signal) error {
-	return r.forEachInstance(func(in *process.Instance) error { return in.Signal(signal) })
+	return r.forEachInstance(func(in *process.Instance) error {
+		if err := in.Signal(signal); !errors.Is(err, os.ErrProcessDone) {
+			return err
+		}
+		return nil
+	})
+}
+
+// signalRunning sends a signal that has a scheduler do something, if it runs and serves: until then it would end it.
+func (r stepRun) signalRunning(signal syscall.Signal) error {
+	return r.forEachInstance(func(in *process.Instance) error {
+		if in.Serves() {
+			_ = in.Signal(signal) // it may have ended
+		}
+		return nil
+	})
 }
 
 // terminate has instances shut down, and does not wait for it.
--- a/internal/testbed/scenario/steps.go
+++ b/internal/testbed/scenario/steps.go
@@ -25,6 +25,8 @@
 	"kill":            stepRun.kill,
 	"stop":            func(r stepRun) error { return r.signal(syscall.SIGSTOP) },
 	"cont":            func(r stepRun) error { return r.signal(syscall.SIGCONT) },
+	"hup":             func(r stepRun) error { return r.signalRunning(syscall.SIGHUP) },
+	"usr1":            func(r stepRun) error { return r.signalRunning(syscall.SIGUSR1) },
 	"term":            stepRun.terminate,
 	"rolling_restart": stepRun.rollingRestart,
 	"list":            stepRun.setListFault,
--- a/internal/testbed/standin/agentprotocol.go
+++ b/internal/testbed/standin/agentprotocol.go
@@ -7,6 +7,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // The node agents' protocol, as an agent sees it: it reads commands (ReadAgentCommand) and writes answers (AgentAnswer).
@@ -32,6 +33,7 @@
 const (
 	fieldClass    = "sort"
 	fieldFunction = "asset"
+	fieldTimeout  = "patience" // in milliseconds
 )
 
 // The words of a line.
@@ -54,6 +56,15 @@
 // Function returns the function that is to be run.
 func (c AgentCommand) Function() string { return c.Fields[fieldFunction] }
 
+// Timeout returns how long the scheduler waits for the answer; 0 if the command does not say.
+func (c AgentCommand) Timeout() time.Duration {
+	milliseconds, err := strconv.Atoi(c.Fields[fieldTimeout])
+	if err != nil {
+		return 0
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
 // ErrMalformedCommand is the error of ReadAgentCommand for bytes that are no command.
 var ErrMalformedCommand = errors.New("not a command of the node agents' protocol")
 
--- a/internal/testbed/standin/worker.go
+++ b/internal/testbed/standin/worker.go
@@ -41,6 +41,7 @@
 	arrivals           []Arrival
 	acceptedAt         []time.Time
 	connections        map[net.Conn]bool
+	draining           bool // rejects requests, and says so when it is asked for its health
 }
 
 // Arrival is a request as it came to a worker.
@@ -51,7 +52,9 @@
 	ID       string
 	Class    string
 	Function string
-	Load     bool // it made the worker load the function
+	Load     bool          // it made the worker load the function
+	Timeout  time.Duration // how long the scheduler would wait, as it said
+	Rejected bool          // the worker drained: the request did not run
 }
 
 // NewWorker starts a worker on loopback, one that is warming up if startedAt is not zero.
@@ -147,6 +150,20 @@
 	w.fault = fault
 }
 
+// Drain has the worker reject requests from now on.
+func (w *Worker) Drain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.draining = true
+}
+
+// isDraining reports whether the worker rejects requests.
+func (w *Worker) isDraining() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.draining
+}
+
 // Fault returns the fault now.
 func (w *Worker) Fault() WorkerFault {
 	w.mu.Lock()
--- a/internal/testbed/standin/workerprotocol.go
+++ b/internal/testbed/standin/workerprotocol.go
@@ -51,7 +51,7 @@
 		go c.handle(ctx, command)
 	case AgentPing, AgentStatus:
 		if c.worker.Fault() != WorkerUnresponsive {
-			c.write(AgentAnswer{ID: command.ID, Status: AnswerUp, Fields: workerLoadReport})
+			c.write(AgentAnswer{ID: command.ID, Status: c.worker.health(), Fields: workerLoadReport})
 		}
 	case AgentCancel:
 	}
@@ -60,6 +60,10 @@
 // handle runs a request and answers it, as the worker's fault has it.
 func (c *workerConnection) handle(ctx context.Context, command AgentCommand) {
 	admitted := c.worker.receive(command)
+	if admitted.rejected {
+		c.write(AgentAnswer{ID: command.ID, Status: AnswerBusy})
+		return
+	}
 	switch admitted.fault {
 	case WorkerUnresponsive:
 		return
@@ -80,6 +84,7 @@
 
 // admittedRequest is what a worker does with a request.
 type admittedRequest struct {
+	rejected    bool            // the worker drains
 	fault       WorkerFault     // of the worker when the request came
 	loaded      <-chan struct{} // closed once the function is loaded
 	serviceTime time.Duration
@@ -93,6 +98,7 @@
 	scheduler, _, _ := strings.Cut(command.Body, " ") // as the load writes it
 	function := command.Function()
 	loaded, known := w.loaded[function]
+	known = known || w.draining
 	w.arrivals = append(w.arrivals, Arrival{
 		At:       time.Now(),
 		From:     scheduler,
@@ -101,6 +107,8 @@
 		Class:    command.Class(),
 		Function: function,
 		Load:     !known,
+		Timeout:  command.Timeout(),
+		Rejected: w.draining,
 	})
 	if !known {
 		loaded = make(chan struct{})
@@ -113,12 +121,21 @@
 	now := time.Now()
 	w.crashIfOverloaded(now)
 	return admittedRequest{
+		rejected:    w.draining,
 		fault:       w.fault,
 		loaded:      loaded,
 		serviceTime: time.Duration(float64(w.profile.ServiceTime) / CapacityFraction(w.age(now))),
 	}
 }
 
+// health is the answer to a health check.
+func (w *Worker) health() AnswerStatus {
+	if w.isDraining() {
+		return AnswerDown
+	}
+	return AnswerUp
+}
+
 // runFunction waits for the function and a slot and runs the request; false if the connection was closed meanwhile.
 func (w *Worker) runFunction(ctx context.Context, request admittedRequest) bool {
 	select {
