Have the lease keeper own what it decides, apart from the Router

A health check's proof was dated by the step after its answer, which a stop of the process may delay.

Change: leaseKeeper confirms, renews and learns by itself; the Router keeps the order of events.

--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -65,7 +65,11 @@
 
 // ProbeEnded reports the result of a health check.
 func (d *Dispatcher) ProbeEnded(worker string, latency time.Duration, result AttemptResult) {
-	d.enqueue(routing.ProbeEnded{Worker: worker, Outcome: result.Outcome, Latency: latency, Report: result.Report})
+	// The process may be stopped between this and the step: what the answer proves is of the time when it was asked for.
+	sentAt := d.loop.Now() - latency
+	d.enqueue(routing.ProbeEnded{
+		Worker: worker, SentAt: sentAt, Outcome: result.Outcome, Latency: latency, Report: result.Report,
+	})
 }
 
 // HasEndpoints reports whether an endpoint list has been applied.
--- a/internal/testbed/scenario/random.go
+++ b/internal/testbed/scenario/random.go
@@ -22,6 +22,20 @@
 	meanFaultInterval = 1500 * time.Millisecond
 	// maxOutage is the longest outage of the list service: longer than anything that is known of workers may be used.
 	maxOutage = 16 * time.Second
+	// maxSignalPause is the longest pause between two signals of a series, which has minSignals and up to moreSignals - 1 more.
+	maxSignalPause = 250 * time.Millisecond
+	minSignals     = 2
+	moreSignals    = 6
+	// The largest shares of workers and schedulers that one fault concerns, and the least.
+	leastShare     = 0.1
+	mostFewWorkers = 0.2
+	mostWorkers    = 0.3
+	mostCutWorkers = 0.4
+	halfSchedulers = 0.5
+	mostSchedulers = 0.7
+	leastRolled    = 0.25 // one scheduler of four
+	// restartOdds is one in how many outages sees workers restart.
+	restartOdds = 3
 	// maxFault is how long other faults last.
 	maxFault = 4 * time.Second
 )
@@ -80,8 +94,7 @@
 
 // share draws a share between a tenth and most.
 func (r *randomScenario) share(most float64) float64 {
-	const least = 0.1
-	return least + r.rng.Float64()*(most-least)
+	return leastShare + r.rng.Float64()*(most-leastShare)
 }
 
 // pick draws one of some words.
@@ -90,9 +103,9 @@
 // listOutage has nothing heard of the list service, and workers drain, or restart, just after that began.
 func (r *randomScenario) listOutage(at time.Duration) {
 	r.add(at, "list %s", r.pick("refusing", "unresponsive", "overloaded"))
-	r.add(at+r.upTo(time.Second), "drain %.2f", r.share(0.3))
-	if r.rng.IntN(3) == 0 {
-		r.add(at+r.upTo(maxFault), "restart_workers %.2f", r.share(0.3))
+	r.add(at+r.upTo(time.Second), "drain %.2f", r.share(mostWorkers))
+	if r.rng.IntN(restartOdds) == 0 {
+		r.add(at+r.upTo(maxFault), "restart_workers %.2f", r.share(mostWorkers))
 	}
 	r.add(r.until(at, maxOutage), "list healthy")
 }
@@ -103,43 +116,41 @@
 	r.add(r.until(at, maxFault), "list healthy")
 }
 
-func (r *randomScenario) drain(at time.Duration) { r.add(at, "drain %.2f", r.share(0.2)) }
+func (r *randomScenario) drain(at time.Duration) { r.add(at, "drain %.2f", r.share(mostFewWorkers)) }
 
 func (r *randomScenario) replaceWorkers(at time.Duration) {
-	r.add(at, "replace %.2f %s", r.share(0.2), warmingUp)
+	r.add(at, "replace %.2f %s", r.share(mostFewWorkers), warmingUp)
 }
 
 func (r *randomScenario) killSchedulers(at time.Duration) {
-	r.add(at, "kill %.2f", r.share(0.7))
+	r.add(at, "kill %.2f", r.share(mostSchedulers))
 	r.add(r.until(at, 2*time.Second), "start 1")
 }
 
 func (r *randomScenario) rollingRestart(at time.Duration) {
-	const least = 0.25 // one of four
-	r.add(at, "rolling_restart %.2f 500ms", max(least, r.share(0.5)))
+	r.add(at, "rolling_restart %.2f 500ms", max(leastRolled, r.share(halfSchedulers)))
 }
 
 func (r *randomScenario) pauseSchedulers(at time.Duration) {
-	r.add(at, "stop %.2f", r.share(0.5))
+	r.add(at, "stop %.2f", r.share(halfSchedulers))
 	r.add(r.until(at, maxFault), "cont 1")
 }
 
 // signals sends signals in series.
 func (r *randomScenario) signals(at time.Duration) {
-	const most = 6
-	for range 2 + r.rng.IntN(most) {
-		at = r.until(at, time.Second/4)
+	for range minSignals + r.rng.IntN(moreSignals) {
+		at = r.until(at, maxSignalPause)
 		r.add(at, "%s 1", r.pick("hup", "usr1"))
 	}
 }
 
 func (r *randomScenario) cutLinks(at time.Duration) {
 	condition := r.pick("partitioned", "partitioned_forward", "partitioned_backward", "hang", "throttled", "high_latency", connectionReset)
-	r.add(at, "link %s %.2f %.2f", condition, r.share(1), r.share(0.4))
+	r.add(at, "link %s %.2f %.2f", condition, r.share(1), r.share(mostCutWorkers))
 	r.add(r.until(at, maxFault), "link healthy 1 1")
 }
 
 func (r *randomScenario) workerFault(at time.Duration) {
-	r.add(at, "workers %s %.2f", r.pick("unresponsive", "slow", "failing", "refusing"), r.share(0.3))
+	r.add(at, "workers %s %.2f", r.pick("unresponsive", "slow", "failing", "refusing"), r.share(mostWorkers))
 	r.add(r.until(at, maxFault), "workers healthy 1")
 }
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -18,6 +18,7 @@
 //	attempt.go    start of an attempt, order of a load, the load budget
 //	retry.go      which further attempts a request's idempotency allows
 //	hedging.go    overdue attempts, and retries or hedges for them
+//	lease.go      proofs that workers take requests, health checks while the endpoint list is in doubt
 //	feedback.go   which component learns what from the outcome of an attempt
 //	pressure      under how much load a worker is
 //	concurrency   how many requests may be in flight at a worker (AIMD), backoff after sheds
@@ -25,8 +26,9 @@
 //	outlier       ejection of unhealthy workers, their probation, faults to report
 //	slowstart     the budget of a worker that is warming up, the throughput of warm ones
 //	demand        decaying counts of requests
+//	lease         for how long a worker may be sent requests by what was last known of it
 //
-// The last six are packages below this one, which import neither it nor each other. The other files decide
+// The last seven are packages below this one, which import neither it nor each other. The other files decide
 // nothing: the records of requests and attempts (request.go), the learned state that survives a restart, the
 // settings, and the messages in and out.
 //
@@ -40,7 +42,8 @@
 //     class allows, and it is rejected only if a repeat by its client is harmless too. A request has no more
 //     than Settings.MaxAttempts attempts, and two in flight together only with Settings.HedgingAllowed.
 //   - Nothing to draining workers: a worker gets no Send and no Load from the moment that it is listed as
-//     Draining or Gone, or that a full list leaves it out.
+//     Draining or Gone, or that a full list leaves it out. Where the caller reports when the list was confirmed
+//     (EndpointsConfirmed), it gets no Send either once a drain may bind that nobody could tell.
 //   - Slow-start budget: all schedulers together send a worker that is warming up no more than it bears, as
 //     Settings.OverloadMultiple and OverloadDuration say. They do so without asking each other, by estimates
 //     and random rounding, so this one holds with high probability.
--- a/routing/events.go
+++ b/routing/events.go
@@ -162,6 +162,7 @@
 // ProbeEnded is the result of a Probe.
 type ProbeEnded struct {
 	Worker  string
+	SentAt  time.Duration // 0 if unknown
 	Outcome Outcome
 	Latency time.Duration
 	Report  *LoadReport // nil if there is none
--- a/routing/feedback.go
+++ b/routing/feedback.go
@@ -43,7 +43,7 @@
 	r.requests.recordEnd(ended, end.Outcome)
 	r.feedback.observeLoad(r.now, ended, end)
 	r.feedback.recordOutcome(r.now, r.rng, ended, end)
-	r.renewByAttempt(ended, end.Outcome)
+	r.leaseKeeper.attemptEnded(r.now, ended, end.Outcome)
 	req := ended.request
 	switch {
 	case end.RequestAnswered || req.answered:
--- a/routing/lease.go
+++ b/routing/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -13,7 +14,8 @@
 	doubtReportInterval = 5 * time.Second        // between two reports that the endpoint list is in doubt
 )
 
-// leaseKeeper renews the leases on workers by health checks while the endpoint list is in doubt.
+// leaseKeeper renews the leases on workers: by what discovery and the workers' answers prove, and by health
+// checks while the endpoint list is in doubt.
 type leaseKeeper struct {
 	leases    *lease.Table
 	allowed   bool // health checks are allowed
@@ -42,50 +44,48 @@
 	candidates []*worker
 }
 
-// confirmEndpoints takes in that the endpoint list was complete at a time.
-func (r *Router) confirmEndpoints(event EndpointsConfirmed) {
-	if !r.endpoints.leases.Limited() {
-		r.endpoints.correctStarts(r.now)
+// confirm takes in that the endpoint list was complete at a time.
+func (k *leaseKeeper) confirm(now, asOf time.Duration) {
+	if !k.leases.Limited() {
+		k.endpoints.correctStarts(now)
 	}
-	r.endpoints.leases.Confirm(event.AsOf)
-	r.refreshCapacity()
+	k.leases.Confirm(asOf)
 }
 
-// renewLeases asks workers for their health whose leases have to be renewed, while the endpoint list is in
-// doubt. Those that serve requests renew them by that; of the others as many are asked as Held says, first
-// those that took requests last. A worker that has just come under suspicion is asked at once.
-func (r *Router) renewLeases() {
-	keeper := r.leaseKeeper
-	if r.now < keeper.sweepAt {
+// renew asks workers for their health whose leases have to be renewed, while the endpoint list is in doubt.
+// Those that serve requests renew them by that; of the others as many are asked as Held says, first those
+// that took requests last. A worker that has just come under suspicion is asked at once.
+func (k *leaseKeeper) renew(now time.Duration, rng *rand.Rand) {
+	if now < k.sweepAt {
 		return
 	}
-	keeper.sweepAt = r.now + leaseSweepInterval
-	if !keeper.leases.InDoubt(r.now) {
-		keeper.reportConfirmed(r.now)
+	k.sweepAt = now + leaseSweepInterval
+	if !k.leases.InDoubt(now) {
+		k.reportConfirmed(now)
 		return
 	}
-	survey := keeper.survey(r.now)
-	keeper.reportDoubt(r.now, survey)
-	if !keeper.allowed {
+	survey := k.survey(now)
+	k.reportDoubt(now, survey)
+	if !k.allowed {
 		return
 	}
-	for _, w := range survey.suspects {
-		keeper.checkHealth(r.now, w)
+	for _, suspect := range survey.suspects {
+		k.checkHealth(now, suspect)
 	}
-	wanted := min(len(survey.candidates), keeper.leases.Held(survey.ready)-survey.fresh)
+	wanted := min(len(survey.candidates), k.leases.Held(survey.ready)-survey.fresh)
 	if wanted <= 0 {
 		return
 	}
-	r.sortForCheck(survey.candidates)
-	for _, w := range survey.candidates[:wanted] {
-		keeper.checkHealth(r.now, w)
+	sortForCheck(survey.candidates, rng)
+	for _, candidate := range survey.candidates[:wanted] {
+		k.checkHealth(now, candidate)
 	}
 }
 
 // sortForCheck puts workers into the order in which they are asked for their health. Schedulers that know
 // equally little of all workers must not all ask the same.
-func (r *Router) sortForCheck(workers []*worker) {
-	r.rng.Shuffle(len(workers), func(i, j int) { workers[i], workers[j] = workers[j], workers[i] })
+func sortForCheck(workers []*worker, rng *rand.Rand) {
+	rng.Shuffle(len(workers), func(i, j int) { workers[i], workers[j] = workers[j], workers[i] })
 	slices.SortStableFunc(workers, func(a, b *worker) int {
 		return cmp.Compare(b.lease.ProvenAt(), a.lease.ProvenAt())
 	})
@@ -141,40 +141,39 @@
 }
 
 // healthCheckEnded learns from a health check whether a worker takes requests. No answer proves nothing.
-func (r *Router) healthCheckEnded(end ProbeEnded) {
-	w := r.endpoints.byID[end.Worker]
-	if w == nil || !w.lease.IsChecked() {
+func (k *leaseKeeper) healthCheckEnded(now time.Duration, end ProbeEnded) {
+	checked := k.endpoints.byID[end.Worker]
+	if checked == nil || !checked.lease.IsChecked() {
 		return
 	}
-	r.leaseKeeper.leases.EndCheck(&w.lease, end.Outcome == Served)
+	k.leases.EndCheck(&checked.lease, end.Outcome == Served)
 	switch end.Outcome {
 	case Served:
-		r.recordAccepted(w, r.now-end.Latency)
+		k.recordAccepted(now, checked, cmp.Or(end.SentAt, now-end.Latency))
 	case Errored:
-		r.leaseKeeper.recordDown(r.now, w, ReportedDown)
+		k.recordDown(now, checked, ReportedDown)
 	case ConnectFailed:
-		r.leaseKeeper.recordDown(r.now, w, CouldNotBeReached)
+		k.recordDown(now, checked, CouldNotBeReached)
 	case Shed, TimedOut, ConnectionReset, Canceled, NotSent, NotLoaded: // nothing is known of the worker
 	}
-	r.refreshCapacity()
 }
 
-// renewByAttempt learns from the outcome of an attempt whether its worker takes requests.
-func (r *Router) renewByAttempt(ended *attempt, outcome Outcome) {
+// attemptEnded learns from the outcome of an attempt whether its worker takes requests.
+func (k *leaseKeeper) attemptEnded(now time.Duration, ended *attempt, outcome Outcome) {
 	target := ended.worker
 	switch outcome {
 	case Served:
-		r.recordAccepted(target, ended.sentAt)
+		k.recordAccepted(now, target, ended.sentAt)
 	case Shed:
-		if r.leaseKeeper.leases.RecordRejected(&target.lease, r.now, ended.sentAt) {
-			r.out.emit(WorkerSuspended{target.ID, RejectedRequests})
+		if k.leases.RecordRejected(&target.lease, now, ended.sentAt) {
+			k.out.emit(WorkerSuspended{target.ID, RejectedRequests})
 		}
 	case ConnectionReset:
-		if r.leaseKeeper.leases.RecordBroken(&target.lease, r.now, ended.sentAt) {
-			r.out.emit(WorkerSuspended{target.ID, ConnectionBroke})
+		if k.leases.RecordBroken(&target.lease, now, ended.sentAt) {
+			k.out.emit(WorkerSuspended{target.ID, ConnectionBroke})
 		}
 	case ConnectFailed:
-		r.leaseKeeper.recordDown(r.now, target, CouldNotBeReached)
+		k.recordDown(now, target, CouldNotBeReached)
 	case Errored, TimedOut, Canceled, NotSent, NotLoaded: // that does not tell whether it drains
 	}
 }
@@ -189,9 +188,9 @@
 // recordAccepted notes that a worker took what was sent to it at a time. One that had been down before is
 // taken to have restarted: while the list is in doubt nobody tells, and a worker that warms up is easily
 // overloaded.
-func (r *Router) recordAccepted(w *worker, sentAt time.Duration) {
-	if r.leaseKeeper.leases.RecordAccepted(&w.lease, sentAt) {
-		w.restart(r.settings.Schedulers)
-		w.Started = r.now
+func (k *leaseKeeper) recordAccepted(now time.Duration, w *worker, sentAt time.Duration) {
+	if k.leases.RecordAccepted(&w.lease, sentAt) {
+		w.restart(k.endpoints.schedulers)
+		w.Started = now
 	}
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -139,7 +139,8 @@
 	case PeerReports:
 		r.applyPeerReports(event)
 	case ProbeEnded:
-		r.healthCheckEnded(event)
+		r.leaseKeeper.healthCheckEnded(r.now, event)
+		r.refreshCapacity()
 	case StateRestored:
 		r.restoreState(event.State)
 	case Shutdown:
@@ -153,7 +154,8 @@
 	case WorkerList:
 		r.endpoints.apply(r.now, event)
 	case EndpointsConfirmed:
-		r.confirmEndpoints(event)
+		r.leaseKeeper.confirm(r.now, event.AsOf)
+		r.refreshCapacity()
 	case EndpointsStale:
 		r.endpoints.markStale(now + event.Duration)
 	case PoolsChanged:
@@ -188,7 +190,7 @@
 		}
 	}
 	r.slowStart.EndSurvey()
-	r.renewLeases()
+	r.leaseKeeper.renew(r.now, r.rng)
 	if r.slowStart.Measure(r.now) {
 		r.endpoints.evictGone(r.now)
 		r.placements.evictIdle(r.now, r.endpoints, r.queue)
