--- a/internal/testbed/process/fleet.go
+++ b/internal/testbed/process/fleet.go
@@ -171,7 +171,7 @@
 			f.departures[worker] = Departure{At: time.Now(), Event: len(f.List.PublishedAt()) + 1}
 		}
 	}
-	if state == standin.EndpointDraining {
+	if state != standin.EndpointServing { // a worker that is deleted takes nothing either
 		for _, worker := range workers {
 			worker.Drain()
 		}
--- a/internal/testbed/process/instance.go
+++ b/internal/testbed/process/instance.go
@@ -195,14 +195,16 @@
 	in.noteEnd(running)
 }
 
-// Stop ends a scheduler as a planned restart does. An error says that it did not end, or not with success.
+// Stop ends a scheduler as a planned restart does. An error says that it did not end, or not with success; the fleet notes
+// it, unless the process was stopped by SIGSTOP meanwhile.
 func (in *Instance) Stop() error {
 	running := in.runningProcess()
 	if running == nil {
 		return nil
 	}
+	began := time.Now()
 	err := in.stop(running)
-	if err != nil {
+	if err != nil && !in.disruptedSince(began) {
 		in.fleet.noteStopError(err)
 	}
 	return err
@@ -236,7 +238,9 @@
 		}
 		return nil
 	case <-time.After(timeout):
+		disrupted := in.disruptedAt.Load()
 		in.Kill()
+		in.disruptedAt.Store(max(disrupted, 0))
 		return fmt.Errorf("scheduler %s does not end", in.Name)
 	}
 }
--- a/internal/testbed/scenario/scenario.go
+++ b/internal/testbed/scenario/scenario.go
@@ -31,7 +31,8 @@
 //	4s link CONDITION SHARE SHARE  changes the links between schedulers and workers: healthy, partitioned, partitioned_forward,
 //	                               partitioned_backward, hang, throttled (4,000 bytes a second), high_latency (100 to 200 ms
 //	                               each way) or connection_reset
-//	4s restart_workers SHARE       restarts workers at their address, without functions loaded and warming up
+//	4s restart_workers SHARE       restarts workers at their address, without functions loaded and warming up; those that drain
+//	                               or were deleted go on
 //	4s stall_store PAUSE           the store that all workers load from serves nothing for that long
 //	4s gossip CONDITION SHARE      changes the links between schedulers and the others, who gossip: healthy, partitioned,
 //	                               partitioned_forward, partitioned_backward, high_latency or lossy (one datagram in three lost,
--- a/internal/testbed/scenario/workersteps.go
+++ b/internal/testbed/scenario/workersteps.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"slices"
 	"time"
 
 	"calicohill/internal/testbed/standin"
@@ -39,12 +40,16 @@
 	return nil
 }
 
-// restartWorkers restarts workers at their address.
+// restartWorkers restarts workers at their address, but for those that drain or were deleted.
 func (r stepRun) restartWorkers() error {
 	workers, err := r.selectedWorkers(0)
 	if err != nil {
 		return err
 	}
+	workers = slices.DeleteFunc(workers, func(worker *standin.Worker) bool {
+		_, leaves := r.fleet.Departure(worker)
+		return leaves
+	})
 	for _, worker := range workers {
 		worker.Restart()
 	}
