--- a/cmd/calicohill/soak_test.go
+++ b/cmd/calicohill/soak_test.go
@@ -15,9 +15,6 @@
 // series, pauses, cut links and faults of workers. No rule is broken; a seed that breaks one is played by
 // `testbed soak --seed`.
 func TestSoak(t *testing.T) {
-	if testing.Short() {
-		t.Skip("plays 30 s of faults")
-	}
 	self, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
