Review case 2: a slow reader of long answers loses all its open requests

What it shows: a client that reads 1 MB a second and has 32 requests with answers of 230,000 bytes open on a connection is taken for one that does not read. The scheduler closes the connection at 4 MiB of unsent bytes (internal/frontend/fastcgi/response.go, conn.write), and the requests end without an answer, calls of a class that must not be sent again among them.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,6 +26,7 @@
 func main() {
 	cases := map[string]func(*run) bool{
 		"memory": playMemory,
+		"slow":   playSlow,
 	}
 	flags := flag.NewFlagSet("rig", flag.ExitOnError)
 	dir := flags.String("dir", "", "temporary folder")
