Log what peers make the scheduler hold, on SIGUSR1

Memory that grows under bad clients could not be attributed: the log says nothing of records, connections or buffers, and a running scheduler did not show them.

SIGUSR1 now logs a line "resource usage": heap, records of functions and placements, requests, attempts, client connections and requests, unsent bytes, buffers, agent connections and the IDs of calls that ended lately. The counts are taken on the event loop. Nothing else changes.

--- a/cmd/calicohill/scheduler.go
+++ b/cmd/calicohill/scheduler.go
@@ -34,7 +34,7 @@
 )
 
 // scheduler holds the configuration and the components of a running scheduler. Once the event loop runs, the fields
-// dispatcher, server, watcher and draining are accessed on the loop only; other goroutines use only the loop's methods
+// dispatcher, server, agents, buffers, watcher and draining are accessed on the loop only; other goroutines use only the loop's methods
 // Post and Stop. The configuration and log do not change after startup and may be read on any goroutine. The fields
 // loggers, statusFile and peers are safe for concurrent use.
 type scheduler struct {
@@ -47,6 +47,8 @@
 	loop       *eventloop.Loop
 	dispatcher *dispatch.Dispatcher
 	server     *fastcgi.Server
+	agents     *nodeagent.Pool
+	buffers    *bufferpool.Pool
 	watcher    *discovery.Watcher
 	peers      *transport.Node // nil without gossip
 
@@ -110,10 +112,10 @@
 	s.loop.Logger = s.log
 	s.loop.StallThreshold = stallThreshold(deployment.DrainGrace)
 
-	buffers := bufferpool.NewPool(limits.requestBuffers)
-	s.dispatcher = dispatch.New(s.loop, router, buffers, deployment.MaxOpenRequests)
+	s.buffers = bufferpool.NewPool(limits.requestBuffers)
+	s.dispatcher = dispatch.New(s.loop, router, s.buffers, deployment.MaxOpenRequests)
 	s.dispatcher.SetLog(s.loggers.Component("routing"))
-	agents := nodeagent.New(s.loop, s.dispatcher, nodeagent.Options{
+	s.agents = nodeagent.New(s.loop, s.dispatcher, nodeagent.Options{
 		Classes:          deployment.ClassNames,
 		PipelineDepth:    deployment.PipelineDepth,
 		Schedulers:       deployment.Schedulers,
@@ -123,10 +125,10 @@
 		MaxDescriptors:   limits.workerDescriptors,
 		MaxResponseBytes: limits.answerBytes,
 	}, s.loggers.Component("agent"))
-	s.dispatcher.SetWorkers(agents)
+	s.dispatcher.SetWorkers(s.agents)
 	s.server = fastcgi.New(s.loop, s.dispatcher, fastcgi.Options{
 		Deployment:     deployment,
-		Buffers:        buffers,
+		Buffers:        s.buffers,
 		MaxConns:       limits.clientConns,
 		MaxUnsentBytes: limits.unsentBytes,
 		Log:            s.loggers.Component("clients"),
--- a/cmd/calicohill/status.go
+++ b/cmd/calicohill/status.go
@@ -15,11 +15,12 @@
 	Rules []match.RuleCounts `json:"rules"`
 }
 
-// reportStatus logs the counts of each rule and writes them to the status file if the operator's file configures one.
-// It reads the counts on the event loop and writes them on another goroutine, since the loop must not wait for the
+// reportStatus logs the resource usage and the counts of each rule, and writes the counts to the status file if the
+// operator's file configures one. It reads the counts on the event loop and writes them on another goroutine, since the loop must not wait for the
 // disk.
 func (s *scheduler) reportStatus() {
 	s.loop.Post(func() {
+		s.reportUsage()
 		counts := s.server.Rules().Counts()
 		go reportRules(s.loggers.Component("rules"), counts, *s.statusFile.Load())
 	})
--- /dev/null
+++ b/cmd/calicohill/usage.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"runtime"
+
+	"github.com/sirupsen/logrus"
+)
+
+// reportUsage logs how much of each resource that peers can take is in use. It must be called on the event loop.
+func (s *scheduler) reportUsage() {
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	dispatched := s.dispatcher.Usage()
+	clients := s.server.Usage()
+	agents := s.agents.Usage()
+	s.log.WithFields(logrus.Fields{
+		"heap":              memory.HeapAlloc,
+		"functions":         dispatched.Routing.Functions,
+		"placements":        dispatched.Routing.Placements,
+		"requests":          dispatched.Requests,
+		"attempts":          dispatched.Attempts,
+		"client_conns":      clients.Conns,
+		"client_requests":   clients.Requests,
+		"unsent":            clients.UnsentBytes,
+		"buffers":           s.buffers.InUse(),
+		"agent_conns":       agents.Conns,
+		"recent_agent_ends": agents.RecentlyEnded,
+	}).Info("resource usage")
+}
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -44,6 +44,22 @@
 // OpenRequests returns the number of requests without a final answer.
 func (d *Dispatcher) OpenRequests() int { return d.requests.openCount() }
 
+// Usage is the number of records that a Dispatcher and its Router hold.
+type Usage struct {
+	Requests int // requests that are open or have an attempt in flight
+	Attempts int // attempts in flight
+	Routing  routing.Usage
+}
+
+// Usage returns the current number of records.
+func (d *Dispatcher) Usage() Usage {
+	return Usage{
+		Requests: d.requests.requests.Len(),
+		Attempts: d.attempts.attempts.Len(),
+		Routing:  d.router.Usage(),
+	}
+}
+
 // MaySend reports whether an attempt may still be written. Several things can rule it out after the Router's last step:
 // the client disconnected, the deadline passed during a stall of the process, the worker started draining, or the
 // deduplication window of the idempotency key ended while the attempt waited for a connection.
--- a/internal/frontend/fastcgi/server.go
+++ b/internal/frontend/fastcgi/server.go
@@ -95,6 +95,18 @@
 // OpenRequests returns the number of requests that have begun but not ended.
 func (s *Server) OpenRequests() int { return s.requests.Len() }
 
+// Usage is what the clients hold of a Server.
+type Usage struct {
+	Conns       int
+	Requests    int // requests that have begun but not ended
+	UnsentBytes int
+}
+
+// Usage returns what the clients currently hold.
+func (s *Server) Usage() Usage {
+	return Usage{Conns: len(s.conns.open), Requests: s.OpenRequests(), UnsentBytes: s.UnsentBytes()}
+}
+
 // LastReceived returns when bytes were last received or a client last connected.
 func (s *Server) LastReceived() time.Duration { return s.lastReceived }
 
--- a/internal/nodeagent/pool.go
+++ b/internal/nodeagent/pool.go
@@ -105,6 +105,21 @@
 	}
 }
 
+// Usage is what a Pool holds for its connections.
+type Usage struct {
+	Conns         int
+	RecentlyEnded int // IDs of ended calls to which a late response may still arrive
+}
+
+// Usage returns what the Pool currently holds.
+func (p *Pool) Usage() Usage {
+	usage := Usage{Conns: len(p.dialer.conns)}
+	for c := range p.dialer.conns {
+		usage.RecentlyEnded += len(c.calls.recentlyEnded)
+	}
+	return usage
+}
+
 // applyEndpoint creates, updates or removes the worker of an endpoint.
 func (p *Pool) applyEndpoint(endpoint *dispatch.Endpoint) {
 	target := p.workers[endpoint.ID]
--- a/internal/runtime/bufferpool/pool.go
+++ b/internal/runtime/bufferpool/pool.go
@@ -44,6 +44,9 @@
 	return &Buffer{B: make([]byte, 0, Size)}
 }
 
+// InUse returns the number of buffers in use.
+func (p *Pool) InUse() int { return p.inUse }
+
 // Put returns a buffer to the pool. It does nothing if buffer is nil.
 func (p *Pool) Put(buffer *Buffer) {
 	if buffer == nil {
--- a/routing/policy_files_test.go
+++ b/routing/policy_files_test.go
@@ -20,7 +20,7 @@
 )
 
 // plainFiles are the files of this package that make no decisions. All files of the packages below it are policy files.
-var plainFiles = []string{"actions.go", "doc.go", "events.go", "learned_state.go", "request.go", "settings.go"}
+var plainFiles = []string{"actions.go", "doc.go", "events.go", "learned_state.go", "request.go", "settings.go", "usage.go"}
 
 // decidingActions are the actions that determine where a request is sent or a function is loaded, or that end a
 // request.
--- a/routing/router.go
+++ b/routing/router.go
@@ -109,6 +109,15 @@
 	return r.out.actions
 }
 
+// Usage returns the number of records that the Router currently holds.
+func (r *Router) Usage() Usage {
+	usage := Usage{Functions: len(r.placements.functions)}
+	for _, fn := range r.placements.functions {
+		usage.Placements += len(fn.placements)
+	}
+	return usage
+}
+
 // start sets the timer for sweeps and subscribes to the endpoint list, in the first Step only.
 func (r *Router) start(now time.Duration) {
 	if r.started {
