--- a/routing/queue.go
+++ b/routing/queue.go
@@ -53,7 +53,7 @@
 // drainQueue sends the queued requests that can be sent, earliest deadline first.
 func (r *Router) drainQueue() {
 	r.refreshCapacity()
-	r.queue.drain(r.sendOrEnd)
+	r.queue.drain(func(req *request) bool { return req.answered || r.sendOrEnd(req) })
 }
 
 // sendOrEnd sends or ends a queued request if possible, and reports whether the request leaves the queue.
