Bound the memory for functions that clients name

What callers saw: bad clients that withdraw requests for ever new functions drove the scheduler over its 192 MB within 14 to 21 s; the platform killed it, and all requests that usual clients had open were lost.

Cause: each function that a request names got a record before the request was admitted, and kept it for 45 s. Nothing bounded their number.

Change: records of functions take at most a sixteenth of memory_mb, cached worker orders another sixteenth (routing/retention, a segmented LRU cache). Functions that no worker has served go first, then those served once, then the least recently served ones; a function with an open request stays. So naming functions displaces nothing that usual clients rely on.

--- a/cmd/calicohill/limits.go
+++ b/cmd/calicohill/limits.go
@@ -23,7 +23,9 @@
 	connsDivisor         = 3 // one third of the descriptors for clients and one third for workers
 	reserveDivisor       = 4 // reserve for memory that the Go runtime does not account for
 	requestBufferDivisor = 3
-	unsentBytesDivisor   = 8
+	// functionMemoryDivisor limits the memory for functions that clients have named and that are not in use.
+	functionMemoryDivisor = 8
+	unsentBytesDivisor    = 8
 	// answerBytesDivisor limits the answers to a quarter of the memory, even if every connection receives an endless
 	// answer.
 	answerBytesDivisor = 4
@@ -36,6 +38,7 @@
 type resourceLimits struct {
 	processMemory     int64 // soft memory limit of the Go runtime, in bytes
 	requestBuffers    int   // number of buffers for unanswered requests
+	functionMemory    int   // memory for records of functions, in bytes
 	unsentBytes       int   // total length of answers that clients have not read
 	answerBytes       int   // length of a single answer from a worker
 	clientConns       int
@@ -50,6 +53,7 @@
 	return resourceLimits{
 		processMemory:     int64(memory - memory/reserveDivisor),
 		requestBuffers:    memory / requestBufferDivisor / bufferpool.Size,
+		functionMemory:    memory / functionMemoryDivisor,
 		unsentBytes:       memory / unsentBytesDivisor,
 		clientConns:       conns,
 		workerConns:       conns,
--- a/cmd/calicohill/scheduler.go
+++ b/cmd/calicohill/scheduler.go
@@ -86,6 +86,7 @@
 	// Faults are reported to peers and routes. An operator's file is enough to enable reporting, since a reload may add
 	// routes.
 	platform.Deployment.FaultReporting = sources.operatorFile != ""
+	platform.Deployment.FunctionMemory = resourceLimitsOf(platform).functionMemory
 	router, err := routing.New(platform.Deployment.Settings, platform.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
--- a/cmd/calicohill/usage.go
+++ b/cmd/calicohill/usage.go
@@ -16,6 +16,9 @@
 	s.log.WithFields(logrus.Fields{
 		"heap":              memory.HeapAlloc,
 		"functions":         dispatched.Routing.Functions,
+		"served_functions":  dispatched.Routing.ServedFunctions,
+		"function_bytes":    dispatched.Routing.FunctionBytes,
+		"order_bytes":       dispatched.Routing.OrderBytes,
 		"placements":        dispatched.Routing.Placements,
 		"requests":          dispatched.Requests,
 		"attempts":          dispatched.Attempts,
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -1,11 +1,9 @@
 package routing
 
 import (
-	"iter"
 	"slices"
 	"time"
 
-	"calicohill/internal/stats/rendezvous"
 	"calicohill/routing/concurrency"
 	"calicohill/routing/latency"
 	"calicohill/routing/lease"
@@ -50,18 +48,13 @@
 	weightsReported bool
 	keepAlive       time.Duration
 	byID            map[string]*worker
-	list            []*worker     // the workers of byID, sorted by ID
-	version         int           // incremented on changes of workers and pools, see workerOrder
+	list            []*worker // the workers of byID, sorted by ID
+	version         int       // incremented on changes of workers and pools, see workerOrder
+	orders          *workerOrders
 	resubscribeAt   time.Duration // next subscription after a failed list call; 0 if none is due
 	staleUntil      time.Duration // the list may be stale and nothing is sent until then
 }
 
-// workerOrder is the rendezvous order of the workers for a function at one version of the endpoint table.
-type workerOrder struct {
-	workers []*worker
-	version int
-}
-
 func newEndpointTable(s *Settings) *endpointTable {
 	return &endpointTable{
 		leases:          lease.NewTable(s.DrainGrace, s.Schedulers),
@@ -70,6 +63,7 @@
 		keepAlive:       s.InstanceKeepAlive,
 		byID:            map[string]*worker{},
 		version:         1,
+		orders:          newWorkerOrders(s),
 	}
 }
 
@@ -187,36 +181,6 @@
 	return w.State == Gone && len(w.inFlight) == 0 && now-w.removedAt >= t.keepAlive
 }
 
-// rendezvousOrder returns the workers for a function in rendezvous hashing order, which is the same at every
-// scheduler. The number of functions for which a worker comes first is proportional to its weight.
-func (t *endpointTable) rendezvousOrder(fn *function) []*worker {
-	if fn.order.version != t.version {
-		ready := slices.DeleteFunc(slices.Clone(t.list), func(w *worker) bool {
-			return w.State != Ready || !fn.pool.Has(w.ID)
-		})
-		identity := func(w *worker) (string, float64) { return w.ID, w.Weight }
-		fn.order = workerOrder{rendezvous.Order(fn.name, ready, identity), t.version}
-	}
-	return fn.order.workers
-}
-
-// leasedOrder returns the rendezvous order of the workers for a function, without the workers on which this
-// scheduler has no valid lease. The remaining workers are numbered from 0 without gaps.
-func (t *endpointTable) leasedOrder(now time.Duration, fn *function) iter.Seq2[int, *worker] {
-	return func(yield func(int, *worker) bool) {
-		number := 0
-		for _, w := range t.rendezvousOrder(fn) {
-			if !t.leases.Valid(&w.lease, now) {
-				continue
-			}
-			if !yield(number, w) {
-				return
-			}
-			number++
-		}
-	}
-}
-
 // remove marks a worker as Gone, since it was listed as such or is missing from a full list.
 func (w *worker) remove(now time.Duration) {
 	w.State = Gone
--- a/routing/feedback.go
+++ b/routing/feedback.go
@@ -15,22 +15,24 @@
 // feedback passes the outcome of an attempt to the components that learn from it, in a fixed order. It owns
 // no state.
 type feedback struct {
-	out       *outbox
-	pressure  *pressure.Estimator
-	latency   *latency.Estimator
-	outliers  *outlier.Detector
-	slowStart *slowstart.Budget
-	hedges    *hedgeCredit
+	out        *outbox
+	placements *placementTable
+	pressure   *pressure.Estimator
+	latency    *latency.Estimator
+	outliers   *outlier.Detector
+	slowStart  *slowstart.Budget
+	hedges     *hedgeCredit
 }
 
 func newFeedback(r *Router) *feedback {
 	return &feedback{
-		out:       r.out,
-		pressure:  r.pressure,
-		latency:   r.latency,
-		outliers:  r.outliers,
-		slowStart: r.slowStart,
-		hedges:    r.hedges,
+		out:        r.out,
+		placements: r.placements,
+		pressure:   r.pressure,
+		latency:    r.latency,
+		outliers:   r.outliers,
+		slowStart:  r.slowStart,
+		hedges:     r.hedges,
 	}
 }
 
@@ -132,7 +134,7 @@
 	target, requested := ended.worker, ended.request.function
 	f.recordAnswer(now, target)
 	ended.placement.recordServed(now)
-	requested.recordServed()
+	f.placements.recordServed(requested)
 	target.limit.RecordServed()
 	f.outliers.RecordServed(&target.health, now)
 	f.slowStart.RecordServed(now, target.Started)
--- a/routing/learned_state.go
+++ b/routing/learned_state.go
@@ -71,8 +71,11 @@
 			LatencyExcess:  r.latency.Ratio(&w.latency, r.now) - 1,
 		})
 	}
+	// Functions that no worker has served are left out: a flood of requests for new functions must not displace the others.
 	for _, fn := range r.placements.functions {
-		state.Functions = append(state.Functions, r.learnedFunction(fn, index))
+		if fn.retained.Rank() > rankUnserved {
+			state.Functions = append(state.Functions, r.learnedFunction(fn, index))
+		}
 	}
 	slices.SortFunc(state.Functions, func(a, b LearnedFunction) int {
 		return cmp.Or(cmp.Compare(b.RequestWeight, a.RequestWeight), cmp.Compare(a.Name, b.Name))
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -1,29 +1,45 @@
 package routing
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"calicohill/internal/stats/rendezvous"
 	"calicohill/routing/demand"
 	"calicohill/routing/latency"
+	"calicohill/routing/retention"
 )
 
-// functionRetentionKeepAlives is the retention time of a function without requests, in keep-alives.
-const functionRetentionKeepAlives = 5
+const (
+	// functionRetentionKeepAlives is the retention time of a function without requests, in keep-alives.
+	functionRetentionKeepAlives = 5
 
-// function is the record of a function.
+	// Memory of a function's record with its map entry, and of each of its placements, in bytes.
+	functionBytes  = 512
+	placementBytes = 96
+)
+
+// Ranks in which functions are retained if the memory for them is exhausted.
+const (
+	rankUnserved retention.Rank = iota // no worker has served it: naming it has cost a client nothing
+	rankServed                         // a worker has served it once, or before a restart
+	rankServedRepeatedly
+)
+
+// function is the record of a function. A client creates one by naming the function in a request, whether a
+// worker ever gets that request or not.
 type function struct {
-	name        string
-	class       int   // index in Settings.Classes of its latest request
-	concurrency int   // requests that one instance runs in parallel
-	pool        *Pool // workers allowed to serve it; nil means all
-	served      bool  // some worker has served it
-	demand      demand.Count
-	latency     latency.Function
-	placements  []*placement
-	order       workerOrder
+	name         string
+	class        int   // index in Settings.Classes of its latest request
+	concurrency  int   // requests that one instance runs in parallel
+	pool         *Pool // workers allowed to serve it; nil means all
+	served       bool  // some worker has served it
+	openRequests int   // requests in the request table
+	demand       demand.Count
+	latency      latency.Function
+	placements   []*placement
+	order        workerOrder
+	retained     *retention.Entry[*function] // owned by the placement table
 }
 
 // placement is the record of a function at one worker.
@@ -40,17 +56,22 @@
 }
 
 // placementTable holds the requested functions, their demand, and the workers where they are loaded. It
-// deletes a function that was not requested for functionRetentionKeepAlives.
+// deletes a function that was not requested for functionRetentionKeepAlives, or earlier if the records exceed
+// their limit on memory. Then it deletes those of the lowest rank first.
 type placementTable struct {
 	classes   []Class
 	keepAlive time.Duration // shortest time that an idle instance stays loaded
 	window    demand.Window
-	functions map[string]*function // by name
-	demand    demand.Count         // requests for all functions
+	functions map[string]*function        // by name
+	retained  *retention.Cache[*function] // the same functions, by rank
+	orders    *workerOrders               // caches the worker order of each function
+	demand    demand.Count                // requests for all functions
 }
 
-func newPlacementTable(s *Settings) *placementTable {
+func newPlacementTable(s *Settings, orders *workerOrders) *placementTable {
 	return &placementTable{
+		retained:  retention.NewCache[*function](s.FunctionMemory/functionMemoryParts, rankServedRepeatedly),
+		orders:    orders,
 		classes:   s.Classes,
 		keepAlive: s.InstanceKeepAlive,
 		window:    demand.NewWindow(s.InstanceKeepAlive),
@@ -60,18 +81,21 @@
 
 // functionFor counts a request and returns the record of its function, creating it if necessary.
 func (t *placementTable) functionFor(now time.Duration, arrival Request) *function {
-	fn := t.functions[arrival.Function]
-	if fn == nil {
-		fn = &function{name: arrival.Function, demand: demand.NewCount(now, 0)}
-		t.functions[arrival.Function] = fn
+	requested := t.functions[arrival.Function]
+	if requested == nil {
+		requested = &function{name: arrival.Function, demand: demand.NewCount(now, 0)}
+		t.add(requested)
 	}
-	fn.class = arrival.Class
-	fn.concurrency = max(arrival.Concurrency, 1)
-	fn.pool = arrival.Pool
-	fn.latency.Declare(t.classes[arrival.Class].LatencyObjective, arrival.LoadTime)
-	fn.demand.Add(now, t.window)
+	if requested.retained.Rank() == rankUnserved {
+		t.retained.Use(requested.retained)
+	}
+	requested.class = arrival.Class
+	requested.concurrency = max(arrival.Concurrency, 1)
+	requested.pool = arrival.Pool
+	requested.latency.Declare(t.classes[arrival.Class].LatencyObjective, arrival.LoadTime)
+	requested.demand.Add(now, t.window)
 	t.demand.Add(now, t.window)
-	return fn
+	return requested
 }
 
 // requestsFor returns the decaying count of requests for a function.
@@ -117,16 +141,66 @@
 }
 
 // evictIdle deletes functions without recent requests and placements at deleted workers.
-func (t *placementTable) evictIdle(now time.Duration, endpoints *endpointTable, queue *requestQueue) {
-	maps.DeleteFunc(t.functions, func(_ string, fn *function) bool {
+func (t *placementTable) evictIdle(now time.Duration, endpoints *endpointTable) {
+	for _, fn := range t.functions {
 		fn.placements = slices.DeleteFunc(fn.placements, func(p *placement) bool {
 			return p.inFlight == 0 && endpoints.isEvictable(now, p.worker)
 		})
-		return now-fn.demand.LastAt() >= functionRetentionKeepAlives*t.keepAlive &&
-			!fn.isInUse() && !queue.hasRequestFor(fn)
-	})
+		t.retained.Resize(fn.retained, fn.bytes())
+		if now-fn.demand.LastAt() >= functionRetentionKeepAlives*t.keepAlive && !fn.isInUse() {
+			t.remove(fn)
+		}
+	}
+	t.evictExcess()
 }
 
+// evictExcess deletes functions that are not in use until the records keep their limit on memory.
+func (t *placementTable) evictExcess() { t.retained.Evict((*function).isInUse, t.forget) }
+
+// add adds the record of a function.
+func (t *placementTable) add(fn *function) {
+	t.functions[fn.name] = fn
+	fn.retained = t.retained.Add(fn, fn.bytes())
+}
+
+// remove deletes the record of a function.
+func (t *placementTable) remove(fn *function) {
+	t.retained.Remove(fn.retained)
+	t.forget(fn)
+}
+
+// forget deletes the record of a function that is no longer retained.
+func (t *placementTable) forget(fn *function) {
+	delete(t.functions, fn.name)
+	t.orders.drop(fn)
+}
+
+// requestEnded records that a request for a function has left the request table.
+func (t *placementTable) requestEnded(fn *function) {
+	fn.openRequests--
+	t.retained.Resize(fn.retained, fn.bytes())
+	t.evictExcess()
+}
+
+// recordServed records that some worker has served a function.
+func (t *placementTable) recordServed(fn *function) {
+	rank := rankServed
+	if fn.served {
+		rank = rankServedRepeatedly
+	}
+	fn.served = true
+	t.promote(fn, rank)
+}
+
+// promote retains a function in preference to those of lower ranks.
+func (t *placementTable) promote(fn *function, rank retention.Rank) {
+	t.retained.Promote(fn.retained, rank)
+	t.orders.rankChanged(fn)
+}
+
+// bytes returns the memory of the record, without its worker order.
+func (f *function) bytes() int { return functionBytes + len(f.name) + placementBytes*len(f.placements) }
+
 // placementAt returns the placement of a function at a worker, creating it if necessary.
 func (f *function) placementAt(w *worker) *placement {
 	i := slices.IndexFunc(f.placements, func(p *placement) bool { return p.worker == w })
@@ -138,14 +212,13 @@
 	return p
 }
 
-// recordServed records that some worker has served the function.
-func (f *function) recordServed() { f.served = true }
+// requestBegun records that a request for the function was added to the request table.
+func (f *function) requestBegun() { f.openRequests++ }
 
-// isInUse reports whether a function has an attempt in flight or a Load in progress.
+// isInUse reports whether a function has a request in the request table or a Load in progress.
 func (f *function) isInUse() bool {
-	return slices.ContainsFunc(f.placements, func(p *placement) bool {
-		return p.loadRequested || p.inFlight > 0
-	})
+	return f.openRequests > 0 ||
+		slices.ContainsFunc(f.placements, func(p *placement) bool { return p.loadRequested })
 }
 
 // setWarm records that the function is loaded in the current incarnation of the worker.
@@ -206,7 +279,13 @@
 }
 
 // restore adds the record of a function restored from an earlier process.
-func (t *placementTable) restore(fn *function) { t.functions[fn.name] = fn }
+func (t *placementTable) restore(fn *function) {
+	if duplicate := t.functions[fn.name]; duplicate != nil {
+		t.remove(duplicate)
+	}
+	t.add(fn)
+	t.promote(fn, rankServed)
+}
 
 // restoreDemand restores the decaying count of requests for all functions as of countedAt.
 func (t *placementTable) restoreDemand(countedAt time.Duration, requests float64) {
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -24,11 +24,6 @@
 // isEmpty reports whether no request is queued.
 func (q *requestQueue) isEmpty() bool { return len(q.list) == 0 }
 
-// hasRequestFor reports whether a request for a function is queued.
-func (q *requestQueue) hasRequestFor(fn *function) bool {
-	return slices.ContainsFunc(q.list, func(queued *request) bool { return queued.function == fn })
-}
-
 // dueBy returns the queued requests with the same or an earlier deadline.
 func (q *requestQueue) dueBy(deadline time.Duration) []*request {
 	for i, queued := range q.list {
@@ -61,7 +56,7 @@
 	noCapacity := req.exceedsCapacityWait(r.now)
 	if noCapacity {
 		if next, ok := req.forFallbackPool(); ok {
-			req.moveToFallback(next, r.placements.functionFor(r.now, next))
+			r.requests.moveToFallback(req, next, r.placements.functionFor(r.now, next))
 			noCapacity = false
 		}
 	}
--- a/routing/request.go
+++ b/routing/request.go
@@ -40,11 +40,14 @@
 
 // requestTable holds the open requests and the total work of their attempts.
 type requestTable struct {
+	placements   *placementTable
 	open         map[string]*request // by ID, until the last attempt has ended
 	inFlightWork float64             // total service time of attempts at warm instances, in seconds
 }
 
-func newRequestTable() *requestTable { return &requestTable{open: map[string]*request{}} }
+func newRequestTable(placements *placementTable) *requestTable {
+	return &requestTable{placements: placements, open: map[string]*request{}}
+}
 
 // newRequest returns the record of a new request.
 func newRequest(now time.Duration, arrival Request, class *Class, fn *function) *request {
@@ -59,10 +62,20 @@
 }
 
 // add adds a new request.
-func (t *requestTable) add(req *request) { t.open[req.ID] = req }
+func (t *requestTable) add(req *request) {
+	t.open[req.ID] = req
+	req.function.requestBegun()
+}
 
-// remove deletes a request that continues as another one, in the fallback pool.
-func (t *requestTable) remove(req *request) { delete(t.open, req.ID) }
+// remove deletes a request that is complete, or that continues as another one in the fallback pool. It does nothing if
+// the request is not in the table.
+func (t *requestTable) remove(req *request) {
+	if t.open[req.ID] != req {
+		return
+	}
+	delete(t.open, req.ID)
+	t.placements.requestEnded(req.function)
+}
 
 // markStreaming records that the answer to a request has started to stream.
 func (t *requestTable) markStreaming(id string) {
@@ -112,14 +125,17 @@
 func (t *requestTable) recordAnswered(req *request) {
 	req.answered = true
 	if req.inFlight == 0 {
-		delete(t.open, req.ID)
+		t.remove(req)
 	}
 }
 
 // moveToFallback moves a request to the fallback of its pool, which has a separate function record.
-func (q *request) moveToFallback(fallback Request, fn *function) {
-	q.Request = fallback
-	q.function = fn
+func (t *requestTable) moveToFallback(req *request, fallback Request, fn *function) {
+	previous := req.function
+	req.Request = fallback
+	req.function = fn
+	fn.requestBegun()
+	t.placements.requestEnded(previous)
 }
 
 // firstPossiblyExecuted returns the first attempt that may have been executed, or nil.
--- a/routing/router.go
+++ b/routing/router.go
@@ -60,22 +60,22 @@
 		return nil, err
 	}
 	router := &Router{
-		settings:   settings,
-		rng:        rand.New(rand.NewPCG(seed, 0)),
-		out:        &outbox{},
-		requests:   newRequestTable(),
-		queue:      &requestQueue{},
-		endpoints:  newEndpointTable(&settings),
-		placements: newPlacementTable(&settings),
-		fleet:      &eligibleFleet{},
-		pressure:   pressure.NewEstimator(settings.Schedulers, shortest, settings.InstanceKeepAlive),
-		latency:    latency.NewEstimator(settings.InstanceKeepAlive),
-		outliers:   outlier.NewDetector(settings.InstanceKeepAlive, settings.FaultReporting),
-		slowStart:  slowstart.NewBudget(settings.slowStartConfig(shortest)),
-		retries:    newRetryPolicy(&settings),
-		hedges:     &hedgeCredit{},
-		loads:      newLoadBudget(&settings),
+		settings:  settings,
+		rng:       rand.New(rand.NewPCG(seed, 0)),
+		out:       &outbox{},
+		queue:     &requestQueue{},
+		endpoints: newEndpointTable(&settings),
+		fleet:     &eligibleFleet{},
+		pressure:  pressure.NewEstimator(settings.Schedulers, shortest, settings.InstanceKeepAlive),
+		latency:   latency.NewEstimator(settings.InstanceKeepAlive),
+		outliers:  outlier.NewDetector(settings.InstanceKeepAlive, settings.FaultReporting),
+		slowStart: slowstart.NewBudget(settings.slowStartConfig(shortest)),
+		retries:   newRetryPolicy(&settings),
+		hedges:    &hedgeCredit{},
+		loads:     newLoadBudget(&settings),
 	}
+	router.placements = newPlacementTable(&settings, router.endpoints.orders)
+	router.requests = newRequestTable(router.placements)
 	router.picker = newPicker(router)
 	router.admission = newAdmissionController(router, shortest)
 	router.feedback = newFeedback(router)
@@ -109,9 +109,14 @@
 	return r.out.actions
 }
 
-// Usage returns the number of records that the Router currently holds.
+// Usage returns how much the Router currently holds.
 func (r *Router) Usage() Usage {
-	usage := Usage{Functions: len(r.placements.functions)}
+	usage := Usage{
+		Functions:       r.placements.retained.Len(rankUnserved),
+		ServedFunctions: r.placements.retained.Len(rankServed),
+		FunctionBytes:   r.placements.retained.Bytes(),
+		OrderBytes:      r.endpoints.orders.cache.Bytes(),
+	}
 	for _, fn := range r.placements.functions {
 		usage.Placements += len(fn.placements)
 	}
@@ -203,7 +208,7 @@
 	r.leaseManager.renew(r.now, r.rng)
 	if r.slowStart.MeasureThroughput(r.now) {
 		r.endpoints.evictGone(r.now)
-		r.placements.evictIdle(r.now, r.endpoints, r.queue)
+		r.placements.evictIdle(r.now, r.endpoints)
 	}
 }
 
--- a/routing/settings.go
+++ b/routing/settings.go
@@ -54,8 +54,13 @@
 	WeightsReported      bool // Worker.Weight is set by discovery
 	ClientsMarkRetries   bool // clients set Request.MarkedRetry
 	FaultReporting       bool // ReportFault is used by peers, which send PeerReports, or by the operator's routes
+	FunctionMemory       int  // limit on the memory for idle functions and worker orders, in bytes; 0 means none
 }
 
+// functionMemoryParts divides Settings.FunctionMemory into equal parts, one for the records of functions and one for
+// the cached orders of workers.
+const functionMemoryParts = 2
+
 // defaultKeepAlive is the value of Settings.InstanceKeepAlive if that is not set.
 const defaultKeepAlive = 10 * time.Second
 
