Release requests that are canceled before the Router's step at once

What callers saw: nothing in service. After a stall one pass of the event loop reads up to 64 KiB from each client; clients that begin and withdraw requests made it hold all of them until the end of the pass.

Cause: no limit on open requests applies to canceled ones, and Cancel added a second event for a request that the Router had not seen.

Change: a request that is canceled in the pass of its arrival takes its event out of the queue and is released with its body. The Router, which could not have acted on it, does not see it.

Tests: TestCanceledInOnePass failed before (8,000 requests and 16,000 events held) and TestBuffersOfCanceledInOnePass (pool exhausted); both pass.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -46,7 +46,7 @@
 	endpoints *endpointTable
 	routes    routeTable
 
-	events     []routing.Event // for the next step
+	events     eventQueue // for the next step
 	stepPosted bool
 
 	observeFault func(routing.ReportFault) // nil if there is no observer
@@ -61,6 +61,7 @@
 		router:    router,
 		requests:  newRequestTable(maxOpenRequests, pool),
 		endpoints: newEndpointTable(),
+		events:    newEventQueue(),
 		log:       &decisionLog{},
 	}
 	dispatcher.attempts = &attemptTable{
@@ -87,12 +88,15 @@
 func (d *Dispatcher) SetLog(log *logrus.Entry) { d.log.log = log }
 
 // enqueue adds an event to the Router's step at the end of the current pass of the loop.
-func (d *Dispatcher) enqueue(event routing.Event) {
-	d.events = append(d.events, event)
+func (d *Dispatcher) enqueue(event routing.Event) { d.enqueueAt(event) }
+
+// enqueueAt is enqueue, and returns the position of the event.
+func (d *Dispatcher) enqueueAt(event routing.Event) eventPosition {
 	if !d.stepPosted {
 		d.stepPosted = true
 		d.loop.Post(d.step)
 	}
+	return d.events.add(event)
 }
 
 // step passes the enqueued events to the Router, performs its actions, and releases the requests that are complete.
@@ -100,8 +104,7 @@
 // by ID.
 func (d *Dispatcher) step() {
 	d.stepPosted = false
-	events := d.events
-	d.events = nil
+	events := d.events.take()
 	for _, action := range d.router.Step(d.loop.Now(), events) {
 		d.perform(action)
 	}
--- a/internal/dispatch/export_test.go
+++ b/internal/dispatch/export_test.go
@@ -8,7 +8,7 @@
 const ResponseReserve = responseReserve
 
 // PendingEvents returns the events that are enqueued for the Router's next step.
-func PendingEvents(d *Dispatcher) []routing.Event { return d.events }
+func PendingEvents(d *Dispatcher) []routing.Event { return d.events.events }
 
 // TableSizes returns the numbers of requests, request IDs and attempts in a Dispatcher's tables.
 func TableSizes(d *Dispatcher) (requests, ids, attempts int) {
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -18,7 +18,7 @@
 		return 0, err
 	}
 	function, pool := d.routes.placement(&call)
-	d.enqueue(routing.Request{
+	req.arrival = d.enqueueAt(routing.Request{
 		ID:          call.ID,
 		Class:       call.Class,
 		Function:    function,
@@ -33,12 +33,19 @@
 
 // Cancel cancels a request whose client has disconnected. The request gets no answer, and none of its attempts is
 // written after this call. The Router cancels an attempt in flight at the end of the pass, if the settings allow
-// cancellation. Until that attempt ends, the request keeps its ID and its body.
+// cancellation. Until that attempt ends, the request keeps its ID and its body. A request that was submitted in the same
+// pass is released at once, and the Router does not see it.
 func (d *Dispatcher) Cancel(ref slotmap.Ref) {
-	if req, ok := d.requests.cancel(ref); ok {
-		d.log.canceled(req.ID)
-		d.enqueue(routing.ClientCanceled{ID: req.ID})
+	req, ok := d.requests.cancel(ref)
+	if !ok {
+		return
+	}
+	d.log.canceled(req.ID)
+	if d.events.withdraw(req.arrival) {
+		d.requests.releaseIfComplete(req)
+		return
 	}
+	d.enqueue(routing.ClientCanceled{ID: req.ID})
 }
 
 // OpenRequests returns the number of requests without a final answer.
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -17,6 +17,7 @@
 	responder        Responder
 	tag              slotmap.Ref   // identifies the request to the responder
 	deadline         time.Duration // the client's deadline less responseReserve
+	arrival          eventPosition // of the event that passes it to the Router
 	answered         bool          // answered or canceled: no answer may follow
 	attempts         []slotmap.Ref // by attempt number
 	attemptsInFlight int
