Bound the memory for IDs of calls that ended recently

What callers saw: nothing in service. Clients that withdraw requests after they were sent make the scheduler keep the ID of each for 3 s, in case of a late response, whatever the memory.

Cause: pipeline.recentlyEnded had a bound in time alone, and searched all IDs of a connection at each end of a call once they exceeded its depth.

Change: one list for all connections, oldest first, of at most a 32nd of memory_mb. Expired IDs leave from the front. At the limit the oldest is forgotten, and its connection gets no new calls, so that no late response can be mistaken.

Tests: without the limit TestEndedCallsAreBounded fails (800 IDs, 8 allowed) and TestConnectionWithForgottenIDIsDrained too; both pass.

--- a/cmd/calicohill/limits.go
+++ b/cmd/calicohill/limits.go
@@ -25,7 +25,9 @@
 	requestBufferDivisor = 3
 	// functionMemoryDivisor limits the memory for functions that clients have named and that are not in use.
 	functionMemoryDivisor = 8
-	unsentBytesDivisor    = 8
+	// endedCallMemoryDivisor limits the memory for the IDs of calls that ended recently.
+	endedCallMemoryDivisor = 32
+	unsentBytesDivisor     = 8
 	// answerBytesDivisor limits the answers to a quarter of the memory, even if every connection receives an endless
 	// answer.
 	answerBytesDivisor = 4
@@ -39,6 +41,7 @@
 	processMemory     int64 // soft memory limit of the Go runtime, in bytes
 	requestBuffers    int   // number of buffers for unanswered requests
 	functionMemory    int   // memory for records of functions, in bytes
+	endedCallMemory   int   // memory for IDs of calls that ended recently, in bytes
 	unsentBytes       int   // total length of answers that clients have not read
 	answerBytes       int   // length of a single answer from a worker
 	clientConns       int
@@ -54,6 +57,7 @@
 		processMemory:     int64(memory - memory/reserveDivisor),
 		requestBuffers:    memory / requestBufferDivisor / bufferpool.Size,
 		functionMemory:    memory / functionMemoryDivisor,
+		endedCallMemory:   memory / endedCallMemoryDivisor,
 		unsentBytes:       memory / unsentBytesDivisor,
 		clientConns:       conns,
 		workerConns:       conns,
--- a/cmd/calicohill/scheduler.go
+++ b/cmd/calicohill/scheduler.go
@@ -125,6 +125,7 @@
 		MaxConns:         limits.workerConns,
 		MaxDescriptors:   limits.workerDescriptors,
 		MaxResponseBytes: limits.answerBytes,
+		EndedCallMemory:  limits.endedCallMemory,
 	}, s.loggers.Component("agent"))
 	s.dispatcher.SetWorkers(s.agents)
 	s.server = fastcgi.New(s.loop, s.dispatcher, fastcgi.Options{
--- a/internal/nodeagent/connection.go
+++ b/internal/nodeagent/connection.go
@@ -20,6 +20,7 @@
 const (
 	drainWorkerGone   drainReason = "worker gone"
 	drainUnresponsive drainReason = "unresponsive"
+	drainTooManyEnded drainReason = "too many calls have ended recently"
 )
 
 // errConnClosed is logged if the scheduler closed a connection with calls in flight.
--- a/internal/nodeagent/connection_read.go
+++ b/internal/nodeagent/connection_read.go
@@ -92,7 +92,7 @@
 		return // the call was canceled
 	}
 	if resp.status != statusOK { // OK ends the request, so no later attempt reuses its ID
-		c.calls.recordEnded(resp.id, c.pool.loop.Now())
+		c.pool.ended.add(endedCall{c, resp.id, c.pool.loop.Now()})
 	}
 	result := dispatch.AttemptResult{
 		Outcome:             outcomes[resp.status],
--- a/internal/nodeagent/pipeline.go
+++ b/internal/nodeagent/pipeline.go
@@ -1,24 +1,17 @@
 package nodeagent
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
-const (
-	// unresponsiveTimeout is how long a call may be in flight, with nothing received since it was written, before new
-	// calls use other connections. If a machine loses its network, its connections stay open but silent.
-	unresponsiveTimeout = time.Second
-	// lateResponseWindow is how long after the end of a call a late or second response to it may still arrive.
-	lateResponseWindow = 3 * time.Second
-)
+// unresponsiveTimeout is how long a call may be in flight, with nothing received since it was written, before new calls
+// use other connections. If a machine loses its network, its connections stay open but silent.
+const unresponsiveTimeout = time.Second
 
 // pipeline holds the calls in flight on one connection, at most depth, and the IDs of recently ended calls. It belongs
 // to a conn and is used only on the event loop.
 type pipeline struct {
 	depth         int
 	inFlight      map[string]*call         // by call ID
-	recentlyEnded map[string]time.Duration // end times by call ID; late responses may still arrive
+	recentlyEnded map[string]time.Duration // end times by call ID; maintained by endedCalls
 }
 
 func newPipeline(depth int) pipeline {
@@ -41,21 +34,15 @@
 	return taken
 }
 
-// abandon removes a canceled call.
-func (p *pipeline) abandon(id string, now time.Duration) {
-	delete(p.inFlight, id)
-	p.recordEnded(id, now)
-}
+// recordEnded records the ID of an ended call. For lateResponseWindow, a late response could be mistaken for the
+// response to another attempt.
+func (p *pipeline) recordEnded(id string, endedAt time.Duration) { p.recentlyEnded[id] = endedAt }
 
-// recordEnded records the ID of an ended call for lateResponseWindow. In that time, a late response could be mistaken
-// for the response to another attempt. Expired IDs are deleted once the number of IDs reaches depth.
-func (p *pipeline) recordEnded(id string, now time.Duration) {
-	if len(p.recentlyEnded) >= p.depth {
-		maps.DeleteFunc(p.recentlyEnded, func(_ string, endedAt time.Duration) bool {
-			return now-endedAt >= lateResponseWindow
-		})
+// forgetEnded removes the ID of a call that ended at endedAt, unless another call with this ID has ended since.
+func (p *pipeline) forgetEnded(id string, endedAt time.Duration) {
+	if p.recentlyEnded[id] == endedAt {
+		delete(p.recentlyEnded, id)
 	}
-	p.recentlyEnded[id] = now
 }
 
 // hasID reports whether a response with this ID could belong to another call on the connection. All attempts of a
--- a/internal/nodeagent/pool.go
+++ b/internal/nodeagent/pool.go
@@ -6,7 +6,8 @@
 //   - callTable: the open calls;
 //   - dialer: the limits on connections and the queue of dials;
 //   - idlePolicy: how long connections may be idle;
-//   - pipeline: the calls in flight on a connection.
+//   - pipeline: the calls in flight on a connection;
+//   - endedCalls: the IDs of the calls that ended recently, on all connections.
 //
 // All code runs on the event loop. Nothing in this package is safe for concurrent use.
 package nodeagent
@@ -51,6 +52,7 @@
 	MaxConns         int           // limit on connections to all workers
 	MaxDescriptors   int           // limit on file descriptors for connections and dials; a dial uses two temporarily
 	MaxResponseBytes int           // limit on the body of a response
+	EndedCallMemory  int           // limit on the memory for IDs of ended calls, in bytes; 0 means none
 	Schedulers       int           // number of schedulers that share the workers
 }
 
@@ -63,6 +65,7 @@
 
 	workers  map[string]*worker // listed workers by ID
 	calls    callTable
+	ended    endedCalls
 	dialer   dialer
 	idle     idlePolicy
 	commands commandBuffer
@@ -76,6 +79,7 @@
 		log:      log,
 		workers:  map[string]*worker{},
 		calls:    callTable{loop: loop, sink: sink, attempts: map[slotmap.Ref]*call{}},
+		ended:    endedCalls{limit: maxEndedCalls(options.EndedCallMemory)},
 		idle:     idlePolicy{closeAfter: options.IdleCloseAfter},
 		commands: commandBuffer{classes: options.Classes},
 	}
@@ -113,11 +117,7 @@
 
 // Usage returns what the Pool currently holds.
 func (p *Pool) Usage() Usage {
-	usage := Usage{Conns: len(p.dialer.conns)}
-	for c := range p.dialer.conns {
-		usage.RecentlyEnded += len(c.calls.recentlyEnded)
-	}
-	return usage
+	return Usage{Conns: len(p.dialer.conns), RecentlyEnded: len(p.ended.calls)}
 }
 
 // applyEndpoint creates, updates or removes the worker of an endpoint.
--- a/internal/nodeagent/send.go
+++ b/internal/nodeagent/send.go
@@ -54,7 +54,8 @@
 // detach removes a call from its connection or from its worker's queue. It reports whether the call was written.
 func (p *Pool) detach(canceled *call) (written bool) {
 	if canceled.conn != nil {
-		canceled.conn.calls.abandon(canceled.ID, p.loop.Now())
+		canceled.conn.calls.take(canceled.ID)
+		p.ended.add(endedCall{canceled.conn, canceled.ID, p.loop.Now()})
 		return true
 	}
 	canceled.target.dequeue(canceled)
