Log received and kept bytes of clients with the resource usage

The line `resource usage` could not tell apart what may hold the memory of requests that never end: the copies of their parameters, their buffers, or what the sockets' buffers hold of a record that is not complete. It gets field_bytes, received and runtime (what the Go runtime holds).

--- a/cmd/calicohill/usage.go
+++ b/cmd/calicohill/usage.go
@@ -15,6 +15,7 @@
 	agents := s.agents.Usage()
 	s.log.WithFields(logrus.Fields{
 		"heap":              memory.HeapAlloc,
+		"runtime":           memory.Sys - memory.HeapReleased,
 		"functions":         dispatched.Routing.Functions,
 		"served_functions":  dispatched.Routing.ServedFunctions,
 		"function_bytes":    dispatched.Routing.FunctionBytes,
@@ -24,6 +25,8 @@
 		"attempts":          dispatched.Attempts,
 		"client_conns":      clients.Conns,
 		"client_requests":   clients.Requests,
+		"received":          clients.ReceivedBytes,
+		"field_bytes":       clients.FieldBytes,
 		"unsent":            clients.UnsentBytes,
 		"buffers":           s.buffers.InUse(),
 		"agent_conns":       agents.Conns,
--- a/internal/frontend/fastcgi/call.go
+++ b/internal/frontend/fastcgi/call.go
@@ -42,6 +42,16 @@
 	ruleParams     []match.Param // by slot; the parameters that rules read
 }
 
+// size returns the length of all parameters together.
+func (f *fields) size() int {
+	size := len(f.path) + len(f.method) + len(f.contentLength) + len(f.id) + len(f.function) + len(f.idempotencyKey) +
+		len(f.budgetMS) + len(f.spec)
+	for _, param := range f.ruleParams {
+		size += len(param.Value)
+	}
+	return size
+}
+
 // parseFields parses the parameters of a request. Parameters named in slotByParam, which rules read, are stored in
 // their slots of ruleParams. The only error is errTruncatedPair.
 func parseFields(params []byte, slotByParam map[string]int) (fields, error) {
--- a/internal/frontend/fastcgi/server.go
+++ b/internal/frontend/fastcgi/server.go
@@ -97,14 +97,23 @@
 
 // Usage is what the clients hold of a Server.
 type Usage struct {
-	Conns       int
-	Requests    int // requests that have begun but not ended
-	UnsentBytes int
+	Conns         int
+	Requests      int // requests that have begun but not ended
+	ReceivedBytes int // received and not parsed yet
+	FieldBytes    int // text of open requests that is kept outside of their buffers
+	UnsentBytes   int
 }
 
 // Usage returns what the clients currently hold.
 func (s *Server) Usage() Usage {
-	return Usage{Conns: len(s.conns.open), Requests: s.OpenRequests(), UnsentBytes: s.UnsentBytes()}
+	usage := Usage{Conns: len(s.conns.open), Requests: s.OpenRequests(), UnsentBytes: s.UnsentBytes()}
+	for c := range s.conns.open {
+		usage.ReceivedBytes += c.socket.InboundBuffered()
+		for _, open := range c.requests {
+			usage.FieldBytes += open.fields.size()
+		}
+	}
+	return usage
 }
 
 // LastReceived returns when bytes were last received or a client last connected.
