Keep only bounded values of a request's parameters

What callers saw: with 300 connections of 32 requests each that never end, with long parameters, a scheduler of 192 MB was killed for memory within a second; the requests of all its clients were lost.

Cause: at the end of the parameters their pooled buffer was returned, but a copy of every known parameter stayed in request.fields until the request ended. Lengths were validated only for the few that a call uses; REQUEST_METHOD, CONTENT_LENGTH and X-Spec could have 16 KB together, outside of any limit.

Evidence: field_bytes of the line 'resource usage' was 114 MB of a heap of 204 MB when the process was over its limit.

Change: parameters are evaluated at their end. The request keeps the validated call, the number in CONTENT_LENGTH, and whether it is a health check; the parsed fields are released. An affinity key is copied, since it may be a part of a longer parameter. A CONTENT_LENGTH that is no number is rejected with 400 at the end of the parameters instead of at the end of the body.

--- a/internal/frontend/fastcgi/call.go
+++ b/internal/frontend/fastcgi/call.go
@@ -42,16 +42,6 @@
 	ruleParams     []match.Param // by slot; the parameters that rules read
 }
 
-// size returns the length of all parameters together.
-func (f *fields) size() int {
-	size := len(f.path) + len(f.method) + len(f.contentLength) + len(f.id) + len(f.function) + len(f.idempotencyKey) +
-		len(f.budgetMS) + len(f.spec)
-	for _, param := range f.ruleParams {
-		size += len(param.Value)
-	}
-	return size
-}
-
 // parseFields parses the parameters of a request. Parameters named in slotByParam, which rules read, are stored in
 // their slots of ruleParams. The only error is errTruncatedPair.
 func parseFields(params []byte, slotByParam map[string]int) (fields, error) {
@@ -116,6 +106,27 @@
 	return call, err
 }
 
+// bodyLength is the length of the body that a client declared.
+type bodyLength struct {
+	declared bool
+	bytes    int
+}
+
+// parseBodyLength parses CONTENT_LENGTH, which may be absent.
+func parseBodyLength(contentLength string) (bodyLength, error) {
+	if contentLength == "" {
+		return bodyLength{}, nil
+	}
+	size, err := strconv.Atoi(contentLength)
+	if err != nil || contentLength != strconv.Itoa(size) {
+		return bodyLength{}, fmt.Errorf("invalid CONTENT_LENGTH %.20q", contentLength)
+	}
+	return bodyLength{declared: true, bytes: size}, nil
+}
+
+// allows reports whether a body of a length is the declared one.
+func (l bodyLength) allows(size int) bool { return !l.declared || l.bytes == size }
+
 // parseSpec parses the client's description of the function, such as memory_mb:512;lanes:2, into a call. It ignores
 // unknown names. It stops at the first malformed item; the items before it have been stored in the call.
 func parseSpec(spec string, call *dispatch.Call) error {
--- a/internal/frontend/fastcgi/request.go
+++ b/internal/frontend/fastcgi/request.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strconv"
+	"strings"
 	"time"
 
 	"calicohill/internal/dispatch"
@@ -34,9 +34,10 @@
 
 	params         *bufferpool.Buffer // nil once the parameters are complete
 	body           *bufferpool.Buffer // nil while it is empty, and after the request is submitted
-	fields         fields             // set once the parameters are complete
-	call           dispatch.Call      // set once the parameters are complete
 	paramsComplete bool
+	isHealthCheck  bool          // set once the parameters are complete
+	call           dispatch.Call // set once the parameters are complete, until the request is submitted
+	bodyLength     bodyLength    // set once the parameters are complete
 
 	begunAt           time.Duration
 	incompleteElement *list.Element  // in Server.incomplete; nil once the request is complete
@@ -103,31 +104,38 @@
 	}
 }
 
-// completeParams parses the parameters, applies the rules and validates the resulting call. It rejects an invalid
-// request.
+// completeParams parses the parameters and releases them. It rejects an invalid request.
 func (r *request) completeParams() {
 	server := r.conn.server
 	r.paramsComplete = true
 	parsed, err := parseFields(r.params.B, server.rules.paramSlots())
 	server.pool.Put(r.params)
 	r.params = nil
+	if err == nil {
+		err = r.applyParams(&parsed)
+	}
 	if err != nil {
 		r.reject(http.StatusBadRequest, err)
-		return
 	}
-	r.fields = parsed
+}
+
+// applyParams applies the rules to the parameters and validates them. The request keeps only values of bounded length,
+// and none of the strings in parsed that a client can make long: the rest of the request may be long in coming.
+func (r *request) applyParams(parsed *fields) (err error) {
 	if parsed.path == healthPath {
-		return
+		r.isHealthCheck = true
+		return nil
 	}
-	// The rules may replace the path in parsed. From here on, only the call uses the path.
-	decided := server.applyRules(&parsed, r.conn)
+	server := r.conn.server
+	decided := server.applyRules(parsed, r.conn)
 	r.call, err = parsed.call(server.deployment, server.classByName)
 	if err != nil {
-		r.reject(http.StatusBadRequest, err)
-		return
+		return err
 	}
-	r.call.Affinity = decided.affinity
+	r.call.Affinity = strings.Clone(decided.affinity) // it may be a part of a longer parameter
 	r.call.Route = decided.route
+	r.bodyLength, err = parseBodyLength(parsed.contentLength)
+	return err
 }
 
 // appendBody handles the content of a STDIN record. An empty record ends the body and completes the request.
@@ -154,7 +162,7 @@
 		r.reject(http.StatusBadRequest, errBodyBeforeParams)
 		return
 	}
-	if r.fields.path == healthPath {
+	if r.isHealthCheck {
 		r.respondToHealthCheck()
 		return
 	}
@@ -162,9 +170,8 @@
 	if r.body != nil {
 		size = len(r.body.B)
 	}
-	declared := r.fields.contentLength
-	if declared != "" && declared != strconv.Itoa(size) {
-		r.reject(http.StatusBadRequest, fmt.Errorf("body of %d bytes, CONTENT_LENGTH %.20q", size, declared))
+	if !r.bodyLength.allows(size) {
+		r.reject(http.StatusBadRequest, fmt.Errorf("body of %d bytes, CONTENT_LENGTH %d", size, r.bodyLength.bytes))
 		return
 	}
 	r.submit()
@@ -190,12 +197,18 @@
 		return
 	}
 	r.submitted = ref
-	r.body = nil // owned by the dispatcher now
+	r.body = nil             // owned by the dispatcher now
+	r.call = dispatch.Call{} // likewise
 	server.incomplete.remove(r)
 	server.loop.ClearDeadline(&r.timer)
 	r.conn.markEstablished()
 }
 
+// textBytes returns the length of the text that the request keeps of its parameters.
+func (r *request) textBytes() int {
+	return len(r.call.ID) + len(r.call.Function) + len(r.call.IdempotencyKey) + len(r.call.Affinity)
+}
+
 // abort ends a request that the client has aborted. It sends END_REQUEST without a response, so that the client can
 // reuse the ID.
 func (r *request) abort() {
--- a/internal/frontend/fastcgi/server.go
+++ b/internal/frontend/fastcgi/server.go
@@ -100,7 +100,7 @@
 	Conns         int
 	Requests      int // requests that have begun but not ended
 	ReceivedBytes int // received and not parsed yet
-	FieldBytes    int // text of open requests that is kept outside of their buffers
+	FieldBytes    int // text that open requests keep of their parameters
 	UnsentBytes   int
 }
 
@@ -110,7 +110,7 @@
 	for c := range s.conns.open {
 		usage.ReceivedBytes += c.socket.InboundBuffered()
 		for _, open := range c.requests {
-			usage.FieldBytes += open.fields.size()
+			usage.FieldBytes += open.textBytes()
 		}
 	}
 	return usage
