Pass the content of records to their requests as it is received

What callers saw: with requests whose bodies never end and a part of a long record on each connection, the scheduler took more memory than its limit, so that the platform killed it.

Cause: a record was handled once it was complete. Until then its bytes stayed in the receive buffer of the socket, up to 64 KiB a connection, which had no share of memory_mb. The buffer's capacity is up to twice its content (128 KiB after 64 KiB and a byte), and each read beside it made a copy of everything received, up to 128 KiB again, which is kept until bytes are discarded.

Evidence: 335 connections with a part of a record, 32 MB and 1,024 descriptors: 'received' was 22 MB, the runtime held 64.5 MB with 11 MB of buffers; without a long record it held 16 MB.

Change: recordParser splits the input into parts of records and keeps at most a header. The content of PARAMS and STDIN records goes to the pooled buffers of their requests, other content is skipped; of BEGIN_REQUEST and GET_VALUES at most 1 KiB is kept. So the socket's buffer is always empty after a pass. The client reads headers by the same function.

--- a/cmd/calicohill/unfinished_requests_test.go
+++ b/cmd/calicohill/unfinished_requests_test.go
@@ -10,48 +10,57 @@
 )
 
 const (
-	unfinishedClients  = 80 // a third of the descriptors is 85
-	unfinishedSockets  = 256
 	unfinishedMemoryMB = 32
 	unfinishedDuration = 1500 * time.Millisecond // less than the time after which unfinished requests end
-	longParamBytes     = 16_000
+	longestRecordBytes = 0xffff
 )
 
-// unfinishedCase defines what each bad client sends before it waits.
+// longValue is close to the limit on the length of parameters and on that of a body.
+var longValue = strings.Repeat("G", 16_000)
+
+// unfinishedCase defines what each bad client sends before it waits. Clients get a third of the descriptors.
 type unfinishedCase struct {
-	name string
-	sent func() []byte
+	name    string
+	sockets int
+	clients int
+	sent    func() []byte
 }
 
 var unfinishedCases = []unfinishedCase{
-	{"long parameters", func() []byte { return unfinishedRequests(longParamBytes) }},
+	{"long parameters", 256, 80, func() []byte { return unfinishedRequests(32, longValue, "") }},
+	{"bodies and long records", 1024, 335, func() []byte {
+		return append(unfinishedRequests(2, "", longValue), longRecord()[:longestRecordBytes-1]...)
+	}},
 }
 
-// unfinishedRequests returns as many requests as a connection may carry, without the ends of their bodies. Each has a
-// parameter of the given length.
-func unfinishedRequests(paramBytes int) []byte {
+// unfinishedRequests returns requests with the given parameter and body, without the ends of their bodies.
+func unfinishedRequests(count uint16, param, body string) []byte {
 	var data []byte
-	for id := uint16(1); id <= 32; id++ {
-		request := newCall("consulta", "", [2]string{"REQUEST_METHOD", strings.Repeat("G", paramBytes)})
+	for id := uint16(1); id <= count; id++ {
+		request := newCall("consulta", body, [2]string{"REQUEST_METHOD", param})
 		request.id, request.bodyOpen = id, true
 		data = append(data, request.bytes()...)
 	}
 	return data
 }
 
+// longRecord returns a record of a request that is not open.
+func longRecord() []byte {
+	return encodeRecord(typeStdin, 100, 0, strings.Repeat("x", longestRecordBytes))
+}
+
 // Guards against memory that grows with what clients leave unfinished: requests that never ended, with long parameters,
 // once drove the scheduler over its memory limit within a second. Other clients must be served meanwhile.
 func TestMemoryOfUnfinishedRequests(t *testing.T) {
 	for _, tt := range unfinishedCases {
-		t.Run(tt.name, func(t *testing.T) { testMemoryOfUnfinishedRequests(t, tt.sent) })
+		t.Run(tt.name, tt.run)
 	}
 }
 
-func testMemoryOfUnfinishedRequests(t *testing.T, sent func() []byte) {
-	t.Helper()
+func (tt unfinishedCase) run(t *testing.T) {
 	agent := newAgent(t, echo)
 	sched := newTestScheduler(t)
-	sched.memoryMB, sched.maxSockets = unfinishedMemoryMB, unfinishedSockets
+	sched.memoryMB, sched.maxSockets = unfinishedMemoryMB, tt.sockets
 	relaxLatencyLimits(sched)
 	sched.addEvent(true, "a SERVING "+agent.addr)
 	usual := sched.start().connect()
@@ -62,7 +71,7 @@
 		}
 	}
 	call()
-	leave := leaveUnfinished(t, sched.addr, sent)
+	leave := tt.leaveUnfinished(t, sched.addr)
 	defer leave()
 	highest := map[string]int{}
 	for end := time.Now().Add(unfinishedDuration); time.Now().Before(end); {
@@ -84,20 +93,33 @@
 	call()
 }
 
+// writeInPieces writes data in pieces that the scheduler reads one at a time, until an error occurs.
+func writeInPieces(conn net.Conn, data []byte) {
+	const pieceSize = 32 << 10
+	for len(data) > 0 {
+		written, err := conn.Write(data[:min(pieceSize, len(data))])
+		if err != nil {
+			return
+		}
+		data = data[written:]
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // leaveUnfinished connects the bad clients, which read whatever they get. The function that it returns disconnects
 // them.
-func leaveUnfinished(t *testing.T, addr string, sent func() []byte) (leave func()) {
+func (tt unfinishedCase) leaveUnfinished(t *testing.T, addr string) (leave func()) {
 	t.Helper()
 	var clients []net.Conn
 	var open sync.WaitGroup
-	for range unfinishedClients {
+	for range tt.clients {
 		conn, err := net.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
 		}
 		clients = append(clients, conn)
 		open.Go(func() { _, _ = io.Copy(io.Discard, conn) })
-		open.Go(func() { _, _ = conn.Write(sent()) })
+		open.Go(func() { writeInPieces(conn, tt.sent()) })
 	}
 	return func() {
 		for _, conn := range clients {
--- a/internal/frontend/fastcgi/call_internal_test.go
+++ b/internal/frontend/fastcgi/call_internal_test.go
@@ -16,15 +16,16 @@
 		Path: "/rpc/consulta", ID: "9b1f03aa5c7e2d41", Function: "7f3a9c21e0b4d655", IdempotencyKey: "k",
 		Budget: time.Second, Spec: "memory_mb:512;lanes:2",
 	})
+	var parser recordParser
 	for len(records) > 0 {
-		rec, size, err := parseRecord(records)
-		if err != nil || size == 0 {
+		part, rest, ok, err := parser.next(records)
+		if err != nil || !ok {
 			tb.Fatal(err)
 		}
-		if rec.kind == typeParams {
-			params = append(params, rec.content...)
+		if part.kind == typeParams {
+			params = append(params, part.content...)
 		}
-		records = records[size:]
+		records = rest
 	}
 	return params
 }
--- a/internal/frontend/fastcgi/client.go
+++ b/internal/frontend/fastcgi/client.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -195,39 +194,37 @@
 
 // readRecords reads and handles records until an error occurs.
 func (c *Client) readRecords(r io.Reader) error {
-	buf := make([]byte, headerLen+maxContentLen+maxPaddingLen)
+	buf := make([]byte, maxContentLen+maxPaddingLen)
 	for {
 		if _, err := io.ReadFull(r, buf[:headerLen]); err != nil {
 			return err
 		}
-		contentLen := int(binary.BigEndian.Uint16(buf[4:]))
-		paddingLen := int(buf[6])
-		size := headerLen + contentLen + paddingLen
-		if _, err := io.ReadFull(r, buf[headerLen:size]); err != nil {
+		header, err := parseHeader(buf)
+		if err != nil {
 			return err
 		}
-		rec, _, err := parseRecord(buf[:size])
-		if err != nil {
+		rest := buf[:header.contentLen+header.paddingLen]
+		if _, err := io.ReadFull(r, rest); err != nil {
 			return err
 		}
-		if err := c.handleRecord(rec); err != nil {
+		if err := c.handleRecord(header, rest[:header.contentLen]); err != nil {
 			return err
 		}
 	}
 }
 
 // handleRecord handles a record of a reply. Records of requests that are not open are ignored.
-func (c *Client) handleRecord(rec record) error {
+func (c *Client) handleRecord(header recordHeader, content []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	pending := c.pending[rec.id]
+	pending := c.pending[header.id]
 	switch {
 	case pending == nil:
-	case rec.kind == typeStdout:
-		pending.stdout = append(pending.stdout, rec.content...)
-	case rec.kind == typeEndRequest && len(rec.content) == controlBodyLen:
-		delete(c.pending, rec.id)
-		reply, err := newReply(pending.stdout, protocolStatus(rec.content[4]))
+	case header.kind == typeStdout:
+		pending.stdout = append(pending.stdout, content...)
+	case header.kind == typeEndRequest && len(content) == controlBodyLen:
+		delete(c.pending, header.id)
+		reply, err := newReply(pending.stdout, protocolStatus(content[4]))
 		if err != nil {
 			return err
 		}
--- a/internal/frontend/fastcgi/connection.go
+++ b/internal/frontend/fastcgi/connection.go
@@ -1,12 +1,10 @@
 package fastcgi
 
 import (
-	"fmt"
 	"net/http"
 	"time"
 
 	"calicohill/internal/runtime/deadline"
-	"calicohill/internal/runtime/eventloop"
 
 	"github.com/panjf2000/gnet/v2"
 )
@@ -24,12 +22,15 @@
 
 // conn is a client's connection from accept to close. It handles records, limits the wait for input, and lingers until
 // responses are sent before it closes. It implements eventloop.ConnHandler and is used only on the event loop. It
-// carries at most maxRequestsPerConn requests and buffers at most maxUnsentPerConn unsent bytes.
+// carries at most maxRequestsPerConn requests and buffers at most maxUnsentPerConn unsent bytes. Of a record that is not
+// complete it holds at most maxGetValuesLen bytes: the content of streams goes to the requests as it is received.
 type conn struct {
 	server     *Server
 	socket     gnet.Conn // nil after the close
 	clientIP   string    // cache of clientAddress; "" until its first call
 	requests   map[requestID]*request
+	parser     recordParser
+	control    []byte        // received content of a control record that is not complete; nil otherwise
 	unreadTime time.Duration // how long the latest bytes waited in the receive buffer
 
 	established bool      // a request was completed or answered
@@ -45,25 +46,6 @@
 // Opened does nothing, because the client sends first.
 func (c *conn) Opened(gnet.Conn) {}
 
-// Readable handles the records that were received. An error closes the connection.
-func (c *conn) Readable(socket gnet.Conn) error {
-	c.server.recordReceived()
-	if c.lingerUntil > 0 {
-		discardAll(socket)
-		return nil
-	}
-	c.unreadTime = eventloop.UnreadFor(socket)
-	c.reading = true
-	for {
-		more, err := c.readRecord(socket)
-		if err != nil || !more {
-			c.reading = false
-			c.closeIfDrained()
-			return err
-		}
-	}
-}
-
 // closeIfDrained closes the connection if the server is draining and the connection has no open request, no partially
 // received record and no unsent response.
 func (c *conn) closeIfDrained() {
@@ -75,79 +57,6 @@
 	}
 }
 
-// readRecord handles the next record if it was received completely. It reports whether another record may follow.
-func (c *conn) readRecord(socket gnet.Conn) (more bool, err error) {
-	buf, _ := socket.Peek(-1) // Peek fails only if more is requested than is buffered
-	if len(buf) == 0 {
-		return false, nil
-	}
-	rec, size, err := parseRecord(buf)
-	if err == nil && size == 0 {
-		c.startInputTimer() // for the rest of the record
-		return false, nil
-	}
-	if c.established {
-		c.stopInputTimer()
-	}
-	if err == nil {
-		err = c.handleRecord(rec)
-	}
-	if err != nil {
-		c.server.warn("client connection closed: protocol error", err)
-		return false, err
-	}
-	if c.socket == nil {
-		return false, nil // handling the record closed the connection
-	}
-	if c.lingerUntil > 0 {
-		discardAll(socket)
-		return false, nil
-	}
-	if _, err := socket.Discard(size); err != nil {
-		return false, fmt.Errorf("resuming reads: %w", err)
-	}
-	return true, nil
-}
-
-// discardAll drops the input of a connection that is about to be closed. Errors do not matter there.
-func discardAll(socket gnet.Conn) { _, _ = socket.Discard(-1) }
-
-// handleRecord handles a record. Records of requests that are not open and records of streams that have ended are
-// ignored. An error wraps errFraming and means that the rest of the connection cannot be parsed.
-func (c *conn) handleRecord(rec record) error {
-	if rec.id == noRequest {
-		return c.handleManagementRecord(rec)
-	}
-	switch rec.kind {
-	case typeBeginRequest:
-		return c.beginRequest(rec)
-	case typeAbortRequest, typeParams, typeStdin, typeData:
-		if req := c.requests[rec.id]; req != nil {
-			req.handleRecord(rec)
-		}
-	default:
-		c.write(appendUnknownType(c.server.scratch[:0], rec.kind))
-	}
-	return nil
-}
-
-// handleManagementRecord handles a record that belongs to no request.
-func (c *conn) handleManagementRecord(rec record) error {
-	switch rec.kind {
-	case typeGetValues:
-		answer, err := appendGetValuesResult(c.server.scratch[:0], rec.content, c.server.conns.maxConns)
-		if err != nil {
-			return fmt.Errorf("%w: %w", errFraming, err)
-		}
-		c.write(answer)
-	case typeBeginRequest, typeAbortRequest, typeParams, typeStdin, typeData:
-		return fmt.Errorf("%w: record of type %d without a request", errFraming, rec.kind)
-	default:
-		c.write(appendUnknownType(c.server.scratch[:0], rec.kind))
-	}
-	return nil
-}
-
 // markEstablished records that the client has completed a request. From now on, the input timer runs only while a
 // record is incomplete.
 func (c *conn) markEstablished() {
--- /dev/null
+++ b/internal/frontend/fastcgi/connection_read.go
@@ -0,0 +1,142 @@
+package fastcgi
+
+import (
+	"fmt"
+
+	"calicohill/internal/runtime/eventloop"
+
+	"github.com/panjf2000/gnet/v2"
+)
+
+// Readable handles all bytes that were received, so that none stay in the socket's receive buffer: that buffer has no
+// limit, and a copy of it is made each time more is received. An error closes the connection.
+func (c *conn) Readable(socket gnet.Conn) error {
+	c.server.recordReceived()
+	if c.lingerUntil > 0 {
+		discardAll(socket)
+		return nil
+	}
+	c.unreadTime = eventloop.UnreadFor(socket)
+	c.reading = true
+	err := c.handleReceived(socket)
+	c.reading = false
+	if err != nil {
+		c.server.warn("client connection closed: protocol error", err)
+	}
+	c.closeIfDrained()
+	return err
+}
+
+// handleReceived handles the parts of records that were received, and limits the wait for the rest of the last one.
+func (c *conn) handleReceived(socket gnet.Conn) error {
+	input, _ := socket.Peek(-1) // Peek fails only if more is requested than is buffered
+	for len(input) > 0 && c.lingerUntil == 0 {
+		part, rest, ok, err := c.parser.next(input)
+		if err != nil {
+			return err
+		}
+		input = rest
+		if !ok {
+			break
+		}
+		if part.last && c.established {
+			c.stopInputTimer()
+		}
+		if err := c.handlePart(part); err != nil {
+			return err
+		}
+		if c.socket == nil {
+			return nil // handling the record closed the connection
+		}
+	}
+	if c.lingerUntil == 0 && c.parser.midRecord() {
+		c.startInputTimer()
+	}
+	discardAll(socket)
+	return nil
+}
+
+// discardAll drops the received bytes. Errors do not matter: they can occur only if the connection has ended.
+func discardAll(socket gnet.Conn) { _, _ = socket.Discard(-1) }
+
+// handlePart handles a part of a record. Records of requests that are not open and records of streams that have ended
+// are ignored. An error wraps errFraming and means that the rest of the connection cannot be parsed.
+func (c *conn) handlePart(part recordPart) error {
+	if part.id == noRequest {
+		return c.handleManagementPart(part)
+	}
+	switch part.kind {
+	case typeBeginRequest:
+		return c.handleBeginPart(part)
+	case typeAbortRequest, typeParams, typeStdin, typeData:
+		if req := c.requests[part.id]; req != nil {
+			req.handlePart(part)
+		}
+	default:
+		c.rejectUnknownType(part)
+	}
+	return nil
+}
+
+// handleManagementPart handles a part of a record that belongs to no request.
+func (c *conn) handleManagementPart(part recordPart) error {
+	switch part.kind {
+	case typeGetValues:
+		return c.handleGetValuesPart(part)
+	case typeBeginRequest, typeAbortRequest, typeParams, typeStdin, typeData:
+		return fmt.Errorf("%w: record of type %d without a request", errFraming, part.kind)
+	default:
+		c.rejectUnknownType(part)
+	}
+	return nil
+}
+
+// rejectUnknownType answers a record of an unknown type at its end.
+func (c *conn) rejectUnknownType(part recordPart) {
+	if part.last {
+		c.write(appendUnknownType(c.server.scratch[:0], part.kind))
+	}
+}
+
+// handleBeginPart handles a part of a BEGIN_REQUEST record.
+func (c *conn) handleBeginPart(part recordPart) error {
+	if part.contentLen != controlBodyLen {
+		return fmt.Errorf("%w: BEGIN_REQUEST of %d bytes", errFraming, part.contentLen)
+	}
+	if content, complete := c.collectControl(part); complete {
+		return c.beginRequest(part.id, content)
+	}
+	return nil
+}
+
+// handleGetValuesPart handles a part of a GET_VALUES record.
+func (c *conn) handleGetValuesPart(part recordPart) error {
+	if part.contentLen > maxGetValuesLen {
+		return fmt.Errorf("%w: GET_VALUES of %d bytes", errFraming, part.contentLen)
+	}
+	content, complete := c.collectControl(part)
+	if !complete {
+		return nil
+	}
+	answer, err := appendGetValuesResult(c.server.scratch[:0], content, c.server.conns.maxConns)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errFraming, err)
+	}
+	c.write(answer)
+	return nil
+}
+
+// collectControl returns the content of a control record at its end. Until then, it keeps the parts. The caller bounds
+// the length of the record.
+func (c *conn) collectControl(part recordPart) (content []byte, complete bool) {
+	if part.first && part.last {
+		return part.content, true
+	}
+	c.control = append(c.control, part.content...)
+	if !part.last {
+		return nil, false
+	}
+	content = c.control
+	c.control = nil
+	return content, true
+}
--- a/internal/frontend/fastcgi/record.go
+++ b/internal/frontend/fastcgi/record.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"errors"
-	"fmt"
 	"strconv"
 )
 
@@ -45,6 +44,9 @@
 	maxPaddingLen = 255
 	// controlBodyLen is the length of the content of BEGIN_REQUEST, END_REQUEST and UNKNOWN_TYPE records.
 	controlBodyLen = 8
+	// maxGetValuesLen is the maximum length of the content of a GET_VALUES record that the server answers. The names of
+	// all variables that FastCGI defines take less than 100 bytes.
+	maxGetValuesLen = 1 << 10
 
 	// The length of a name or a value takes one byte if it is below longLength. Otherwise it takes four bytes, and the
 	// highest bit is set.
@@ -59,41 +61,11 @@
 
 const noRequest requestID = 0
 
-// record is a FastCGI record. Its content aliases the buffer that it was parsed from.
-type record struct {
-	kind    recordType
-	id      requestID
-	content []byte
-}
-
 var (
 	errFraming       = errors.New("invalid FastCGI framing")
 	errTruncatedPair = errors.New("truncated name-value pair")
 )
 
-// parseRecord parses the record at the start of a buffer and returns its size in bytes, including padding. The size is
-// 0 if the record is incomplete. An error wraps errFraming and means that the buffer does not start with a record.
-func parseRecord(buf []byte) (rec record, size int, err error) {
-	if len(buf) < headerLen {
-		return record{}, 0, nil
-	}
-	if buf[0] != protocolVersion {
-		return record{}, 0, fmt.Errorf("%w: version %d", errFraming, buf[0])
-	}
-	contentLen := int(binary.BigEndian.Uint16(buf[4:]))
-	paddingLen := int(buf[6])
-	size = headerLen + contentLen + paddingLen
-	if len(buf) < size {
-		return record{}, 0, nil
-	}
-	rec = record{
-		kind:    recordType(buf[1]),
-		id:      requestID(binary.BigEndian.Uint16(buf[2:])),
-		content: buf[headerLen : headerLen+contentLen],
-	}
-	return rec, size, nil
-}
-
 // forEachPair calls visit for each name-value pair of a stream. It stops at a truncated pair and returns
 // errTruncatedPair.
 func forEachPair(stream []byte, visit func(name, value []byte)) error {
--- a/internal/frontend/fastcgi/request.go
+++ b/internal/frontend/fastcgi/request.go
@@ -45,25 +45,22 @@
 	submitted         slotmap.Ref    // the dispatcher's reference to the request; 0 until it is submitted
 }
 
-// beginRequest handles a BEGIN_REQUEST record.
-func (c *conn) beginRequest(rec record) error {
-	if c.requests[rec.id] != nil {
-		return fmt.Errorf("%w: request %d already open", errFraming, rec.id)
+// beginRequest handles a BEGIN_REQUEST record with the given content of controlBodyLen bytes.
+func (c *conn) beginRequest(id requestID, content []byte) error {
+	if c.requests[id] != nil {
+		return fmt.Errorf("%w: request %d already open", errFraming, id)
 	}
-	if len(rec.content) != controlBodyLen {
-		return fmt.Errorf("%w: BEGIN_REQUEST of %d bytes", errFraming, len(rec.content))
-	}
-	role := binary.BigEndian.Uint16(rec.content)
-	flags := rec.content[2]
+	role := binary.BigEndian.Uint16(content)
+	flags := content[2]
 	server := c.server
-	req := &request{conn: c, id: rec.id, keepConn: flags&flagKeepConn != 0}
+	req := &request{conn: c, id: id, keepConn: flags&flagKeepConn != 0}
 	req.ref = server.requests.Insert(req)
-	c.requests[rec.id] = req
+	c.requests[id] = req
 	req.begunAt = server.loop.Now()
 	server.incomplete.add(req)
 	server.conns.update(c, req.begunAt)
 	if role != roleResponder {
-		req.finish(appendEndRequest(server.scratch[:0], rec.id, statusUnknownRole))
+		req.finish(appendEndRequest(server.scratch[:0], id, statusUnknownRole))
 		return nil
 	}
 	req.timer.Fire = func() { req.reject(http.StatusRequestTimeout, errRequestTimeout) }
@@ -75,32 +72,36 @@
 	return nil
 }
 
-// handleRecord handles a record of an open request. Records of a stream that has ended are ignored.
-func (r *request) handleRecord(rec record) {
-	switch rec.kind {
+// handlePart handles a part of a record of an open request. An empty record ends its stream. Records of a stream that
+// has ended are ignored.
+func (r *request) handlePart(part recordPart) {
+	switch part.kind {
 	case typeAbortRequest:
-		r.abort()
+		if part.last {
+			r.abort()
+		}
 	case typeParams:
 		if !r.paramsComplete {
-			r.appendParams(rec.content)
+			r.handleParams(part)
 		}
 	case typeStdin:
 		if r.submitted == 0 {
-			r.appendBody(rec.content)
+			r.handleBody(part)
 		}
 	default:
 		// DATA streams are for the Filter role; this server is a Responder.
 	}
 }
 
-// appendParams handles the content of a PARAMS record. An empty record ends the parameters.
-func (r *request) appendParams(content []byte) {
-	if len(content) == 0 {
+// handleParams handles a part of a PARAMS record.
+func (r *request) handleParams(part recordPart) {
+	switch {
+	case part.contentLen > 0:
+		if !r.params.Append(part.content) {
+			r.reject(http.StatusRequestHeaderFieldsTooLarge, errParamsTooLong)
+		}
+	case part.last:
 		r.completeParams()
-		return
-	}
-	if !r.params.Append(content) {
-		r.reject(http.StatusRequestHeaderFieldsTooLarge, errParamsTooLong)
 	}
 }
 
@@ -138,12 +139,18 @@
 	return err
 }
 
-// appendBody handles the content of a STDIN record. An empty record ends the body and completes the request.
-func (r *request) appendBody(content []byte) {
-	if len(content) == 0 {
+// handleBody handles a part of a STDIN record.
+func (r *request) handleBody(part recordPart) {
+	switch {
+	case len(part.content) > 0:
+		r.appendBody(part.content)
+	case part.last && part.contentLen == 0:
 		r.complete()
-		return
 	}
+}
+
+// appendBody appends content to the body.
+func (r *request) appendBody(content []byte) {
 	if r.body == nil {
 		r.body = r.conn.server.borrowBuffer(r)
 	}
