Account for all memory of open requests, and share it between connections

What callers saw: 335 clients that begin requests with long bodies and never end them took all buffers of a scheduler of 32 MB, and every request of other clients was answered OVERLOADED until the first of them were 0.25 s old. The records of open requests were counted nowhere.

Cause: memory was bounded as a number of buffers of 16 KiB, whatever they held, a third of memory_mb. Records, texts, attempts and affinity keys of requests had no share. Whoever asked first got the buffers; only an age of 0.25 s took them back.

Change: bufferpool.Pool has a limit in bytes, a quarter of memory_mb, for buffers of 1 to 16 KiB, by what they hold, for the records of requests in the front end (1 KiB) and from Submit until the last attempt has ended (2 KiB), and for affinity keys. Free buffers count as well. When memory runs out, the largest incomplete request of the connection whose incomplete requests hold most gives way, if they hold more than the asking connection's would; else the oldest one after 0.25 s as before. So a client that begins more than others displaces its own requests first. Submitted requests are never displaced.

TestIncompleteRequestsReleaseMemory, renamed, sends long bodies: with small ones its 320 requests would no longer take all memory. wantBuffersInUse of dispatch reads the pool's count instead of taking all buffers, and checks that nothing else is reserved.

--- a/cmd/calicohill/limits.go
+++ b/cmd/calicohill/limits.go
@@ -1,9 +1,6 @@
 package main
 
-import (
-	"calicohill/internal/config"
-	"calicohill/internal/runtime/bufferpool"
-)
+import "calicohill/internal/config"
 
 const (
 	// reservedDescriptors is the number of descriptors that are not available to client and worker connections. They
@@ -22,7 +19,7 @@
 const (
 	connsDivisor         = 3 // one third of the descriptors for clients and one third for workers
 	reserveDivisor       = 4 // reserve for memory that the Go runtime does not account for
-	requestBufferDivisor = 3
+	requestMemoryDivisor = 4
 	// functionMemoryDivisor limits the memory for functions that clients have named and that are not in use.
 	functionMemoryDivisor = 8
 	// endedCallMemoryDivisor limits the memory for the IDs of calls that ended recently.
@@ -39,7 +36,7 @@
 // platform grants.
 type resourceLimits struct {
 	processMemory     int64 // soft memory limit of the Go runtime, in bytes
-	requestBuffers    int   // number of buffers for unanswered requests
+	requestMemory     int   // memory for open requests and their buffers, in bytes
 	functionMemory    int   // memory for records of functions, in bytes
 	endedCallMemory   int   // memory for IDs of calls that ended recently, in bytes
 	unsentBytes       int   // total length of answers that clients have not read
@@ -55,7 +52,7 @@
 	conns := platform.MaxSockets / connsDivisor
 	return resourceLimits{
 		processMemory:     int64(memory - memory/reserveDivisor),
-		requestBuffers:    memory / requestBufferDivisor / bufferpool.Size,
+		requestMemory:     memory / requestMemoryDivisor,
 		functionMemory:    memory / functionMemoryDivisor,
 		endedCallMemory:   memory / endedCallMemoryDivisor,
 		unsentBytes:       memory / unsentBytesDivisor,
--- a/cmd/calicohill/limits_test.go
+++ b/cmd/calicohill/limits_test.go
@@ -291,11 +291,11 @@
 	}
 }
 
-// Incomplete requests on many connections must release their buffers to requests of other clients.
-func TestIncompleteRequestsReleaseBuffers(t *testing.T) {
+// Incomplete requests on many connections must release their memory to requests of other clients.
+func TestIncompleteRequestsReleaseMemory(t *testing.T) {
 	agent := newAgent(t, echo)
 	sched := newTestScheduler(t)
-	sched.memoryMB = 12 // 256 buffers
+	sched.memoryMB = 12 // 3 MB for requests
 	sched.addEvent(true, "a SERVING "+agent.addr)
 	sched.start()
 	sendRequests := func() {
@@ -307,15 +307,15 @@
 		}
 	}
 	sendRequests()
-	for range 10 {
+	for range 10 { // 320 requests with 17 KB each
 		client := sched.connect()
 		for id := uint16(1); id <= 32; id++ {
-			request := newCall("consulta", "half")
+			request := newCall("consulta", longValue)
 			request.id, request.bodyOpen = id, true
 			client.send(request)
 		}
 	}
-	// Longer than the 0.25 s after which the scheduler may take the buffers of incomplete requests, and well below the
+	// Longer than the 0.25 s after which the scheduler may take the memory of any incomplete request, and well below the
 	// 2 s after which it closes their connections.
 	time.Sleep(500 * time.Millisecond)
 	sendRequests()
--- a/cmd/calicohill/scheduler.go
+++ b/cmd/calicohill/scheduler.go
@@ -113,7 +113,7 @@
 	s.loop.Logger = s.log
 	s.loop.StallThreshold = stallThreshold(deployment.DrainGrace)
 
-	s.buffers = bufferpool.NewPool(limits.requestBuffers)
+	s.buffers = bufferpool.NewPool(limits.requestMemory)
 	s.dispatcher = dispatch.New(s.loop, router, s.buffers, deployment.MaxOpenRequests)
 	s.dispatcher.SetLog(s.loggers.Component("routing"))
 	s.agents = nodeagent.New(s.loop, s.dispatcher, nodeagent.Options{
--- a/cmd/calicohill/unfinished_requests_test.go
+++ b/cmd/calicohill/unfinished_requests_test.go
@@ -31,6 +31,8 @@
 	{"bodies and long records", 1024, 335, func() []byte {
 		return append(unfinishedRequests(2, "", longValue), longRecord()[:longestRecordBytes-1]...)
 	}},
+	{"more bodies than memory", 1024, 335, func() []byte { return unfinishedRequests(32, "", longValue) }},
+	{"more requests than memory", 1024, 335, func() []byte { return unfinishedRequests(32, "", "") }},
 }
 
 // unfinishedRequests returns requests with the given parameter and body, without the ends of their bodies.
@@ -50,7 +52,8 @@
 }
 
 // Guards against memory that grows with what clients leave unfinished: requests that never ended, with long parameters,
-// once drove the scheduler over its memory limit within a second. Other clients must be served meanwhile.
+// once drove the scheduler over its memory limit within a second. Other clients must be served meanwhile, even if the
+// bad clients would take all memory for requests.
 func TestMemoryOfUnfinishedRequests(t *testing.T) {
 	for _, tt := range unfinishedCases {
 		t.Run(tt.name, tt.run)
@@ -65,9 +68,11 @@
 	sched.addEvent(true, "a SERVING "+agent.addr)
 	usual := sched.start().connect()
 	call := func() {
-		usual.send(newCall("consulta", "usual", relaxedBudget))
-		if got := usual.readAnswer(); got.body != "re:usual" {
-			t.Errorf("status %d for a usual client, want it served", got.status)
+		for _, body := range []string{"usual", longValue} {
+			usual.send(newCall("consulta", body, relaxedBudget))
+			if got := usual.readAnswer(); got.body != "re:"+body {
+				t.Errorf("status %d for a usual client with a body of %d bytes, want it served", got.status, len(body))
+			}
 		}
 	}
 	call()
@@ -85,10 +90,13 @@
 	if limit := unfinishedMemoryMB * bytesPerMB; highest["runtime"] > limit {
 		t.Errorf("the Go runtime held %d bytes, want at most the %d of the whole process", highest["runtime"], limit)
 	}
+	if limit := unfinishedMemoryMB * bytesPerMB / requestMemoryDivisor; highest["most_request_bytes"] > limit {
+		t.Errorf("requests took %d bytes, want at most their share of %d", highest["most_request_bytes"], limit)
+	}
 	leave()
 	waitUntil(t, "all that the bad clients held is released", func() bool {
 		usage := sched.resourceUsage()
-		return usage["client_conns"] == 1 && usage["client_requests"] == 0 && usage["buffers"] == 0 && usage["received"] == 0
+		return usage["client_conns"] == 1 && usage["client_requests"] == 0 && usage["request_bytes"] == 0 && usage["received"] == 0
 	})
 	call()
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -53,8 +53,8 @@
 	log          *decisionLog
 }
 
-// New returns a Dispatcher that allows at most maxOpenRequests open requests; 0 means no limit. It returns request
-// bodies to the pool. SetWorkers must be called before any other method.
+// New returns a Dispatcher that allows at most maxOpenRequests open requests; 0 means no limit. It reserves memory for
+// them in the pool and returns their bodies to it. SetWorkers must be called before any other method.
 func New(loop Loop, router *routing.Router, pool *bufferpool.Pool, maxOpenRequests int) *Dispatcher {
 	dispatcher := &Dispatcher{
 		loop:      loop,
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -108,7 +108,7 @@
 const (
 	timeLeft            = time.Second            // TimeLeft of the harness's calls
 	deduplicationWindow = 600 * time.Millisecond // of class idempotentByKey
-	poolLimit           = 20                     // body buffers in the harness's pool
+	poolLimit           = 20                     // requests with a body for which the harness's pool has memory
 )
 
 // testSettings returns settings that allow a retry, hedging and cancellation.
@@ -157,7 +157,7 @@
 		loop:      &fakeLoop{now: time.Hour},
 		workers:   &fakeWorkers{written: true},
 		responder: &fakeResponder{answers: map[slotmap.Ref][]dispatch.Answer{}},
-		pool:      bufferpool.NewPool(poolLimit),
+		pool:      bufferpool.NewPool(poolLimit * (bufferpool.Size + dispatch.MemoryFor(&dispatch.Call{}))),
 	}
 	h.Dispatcher = dispatch.New(h.loop, router, h.pool, maxOpenRequests)
 	h.SetWorkers(h.workers)
@@ -182,7 +182,9 @@
 	if body == nil {
 		h.t.Fatal("body buffer pool is exhausted")
 	}
-	body.Append([]byte("body of " + id))
+	if err := h.pool.Append(body, []byte("body of "+id)); err != nil {
+		h.t.Fatal(err)
+	}
 	return dispatch.Call{ID: id, Class: class, Function: "function " + id, IdempotencyKey: "key " + id, TimeLeft: timeLeft, Body: body}
 }
 
@@ -264,17 +266,13 @@
 }
 
 // wantBuffersInUse checks how many body buffers are in use. A buffer that was returned to the pool twice lowers the
-// count by one.
+// count by one. If no buffer is in use, no other memory may be reserved either.
 func (h *testHarness) wantBuffersInUse(want int) {
 	h.t.Helper()
-	var free []*bufferpool.Buffer
-	for buffer := h.pool.Get(); buffer != nil; buffer = h.pool.Get() {
-		free = append(free, buffer)
-	}
-	for _, buffer := range free {
-		h.pool.Put(buffer)
-	}
-	if got := poolLimit - len(free); got != want {
+	if got := h.pool.InUse(); got != want {
 		h.t.Errorf("%d body buffers in use, want %d", got, want)
 	}
+	if got := h.pool.Used(); want == 0 && got != 0 {
+		h.t.Errorf("%d bytes are in use, want none", got)
+	}
 }
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -13,7 +13,7 @@
 var (
 	// ErrDuplicateID is returned for a request whose ID belongs to a request that has not been released.
 	ErrDuplicateID = errors.New("a request with this id is already open")
-	// ErrTooManyRequests is returned if the limit on open requests is reached.
+	// ErrTooManyRequests is returned if the limit on open requests or on their memory is reached.
 	ErrTooManyRequests = errors.New("too many open requests")
 )
 
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -10,6 +10,15 @@
 // responseReserve is subtracted from each client's time to allow for the network latency of the request and the answer.
 const responseReserve = 3 * time.Millisecond
 
+// requestBytes is the memory that a submitted request takes besides its body: its records here and in the Router, its
+// attempts, and their calls in the transport.
+const requestBytes = 2 << 10
+
+// MemoryFor returns the memory that Submit reserves for a call in the pool, in bytes.
+func MemoryFor(call *Call) int {
+	return requestBytes + 2*len(call.Affinity) // the key itself, and the name under which the Router keeps it
+}
+
 // request is a client's request. It exists from Submit until it is answered or canceled and has no attempt in flight.
 type request struct {
 	Call
@@ -21,6 +30,7 @@
 	answered         bool          // answered or canceled: no answer may follow
 	attempts         []slotmap.Ref // by attempt number
 	attemptsInFlight int
+	memory           int // reserved in the pool
 }
 
 // isAnswered reports whether the request was answered or canceled, so that no answer may follow.
@@ -50,13 +60,13 @@
 // a Dispatcher and is used on the event loop only.
 //
 // At most maxOpen requests wait for their final answer at a time; 0 means no limit. An answered request stays in the
-// table while one of its attempts is in flight.
+// table while one of its attempts is in flight. The pool limits the memory of the requests, of their bodies too.
 type requestTable struct {
 	requests slotmap.Table[*request]
 	refs     map[string]slotmap.Ref // by ID
 	open     int                    // requests without a final answer
 	maxOpen  int
-	buffers  *bufferpool.Pool // the bodies' pool
+	buffers  *bufferpool.Pool
 }
 
 func newRequestTable(maxOpen int, buffers *bufferpool.Pool) *requestTable {
@@ -75,7 +85,13 @@
 	if t.maxOpen > 0 && t.open >= t.maxOpen {
 		return nil, ErrTooManyRequests
 	}
-	req := &request{Call: *call, responder: responder, tag: tag, deadline: now + call.TimeLeft - responseReserve}
+	memory := MemoryFor(call)
+	if !t.buffers.Reserve(memory) {
+		return nil, ErrTooManyRequests
+	}
+	req := &request{
+		Call: *call, responder: responder, tag: tag, deadline: now + call.TimeLeft - responseReserve, memory: memory,
+	}
 	req.ref = t.requests.Insert(req)
 	t.refs[call.ID] = req.ref
 	t.open++
@@ -125,7 +141,7 @@
 	}
 }
 
-// releaseIfComplete removes a request that is answered and has no attempt in flight, and returns its body to the pool.
+// releaseIfComplete removes a request that is answered and has no attempt in flight, and returns its memory to the pool.
 // Bodies are returned nowhere else: attempts in flight use the body even after the request has been answered or
 // canceled.
 func (t *requestTable) releaseIfComplete(req *request) {
@@ -138,5 +154,6 @@
 	t.requests.Remove(req.ref)
 	delete(t.refs, req.ID)
 	t.buffers.Put(req.Body)
+	t.buffers.Release(req.memory)
 	req.Body = nil
 }
--- a/internal/frontend/fastcgi/admission.go
+++ b/internal/frontend/fastcgi/admission.go
@@ -1,9 +1,6 @@
 package fastcgi
 
 import (
-	"net/http"
-
-	"calicohill/internal/runtime/bufferpool"
 	"calicohill/internal/runtime/eventloop"
 
 	"github.com/panjf2000/gnet/v2"
@@ -36,42 +33,3 @@
 	victim.close()
 	return true
 }
-
-// incompleteRequests lists the requests that have not been received completely, oldest first. It belongs to a Server
-// and is used only on the event loop. Its size is bounded by requestTimeout and by the size of the buffer pool.
-type incompleteRequests struct{ requests orderedList[*request] }
-
-// add appends a new request.
-func (l *incompleteRequests) add(begun *request) { begun.incompleteElement = l.requests.add(begun) }
-
-// remove removes a request that is complete or has ended. Repeated calls have no effect.
-func (l *incompleteRequests) remove(done *request) {
-	if done.incompleteElement != nil {
-		l.requests.remove(done.incompleteElement)
-		done.incompleteElement = nil
-	}
-}
-
-// oldest returns the oldest request. It returns false if all requests are complete.
-func (l *incompleteRequests) oldest() (*request, bool) { return l.requests.first() }
-
-// borrowBuffer returns a buffer from the pool for a request, or nil if none is free.
-//
-// If the pool is empty, it rejects the oldest incomplete request, provided that this request is older than
-// firstRequestGrace. Otherwise thousands of requests that are begun but never completed could hold all buffers until
-// they time out.
-func (s *Server) borrowBuffer(borrower *request) *bufferpool.Buffer {
-	buffer := s.pool.Get()
-	for buffer == nil {
-		oldest, ok := s.incomplete.oldest()
-		if !ok {
-			return nil
-		}
-		if oldest == borrower || s.loop.Now()-oldest.begunAt < firstRequestGrace {
-			return nil // all other requests are younger
-		}
-		oldest.reject(http.StatusRequestTimeout, errBuffersReclaimed)
-		buffer = s.pool.Get()
-	}
-	return buffer
-}
--- a/internal/frontend/fastcgi/connection.go
+++ b/internal/frontend/fastcgi/connection.go
@@ -33,6 +33,8 @@
 	control    []byte        // received content of a control record that is not complete; nil otherwise
 	unreadTime time.Duration // how long the latest bytes waited in the receive buffer
 
+	incompleteBytes int // memory of the requests that are not complete
+
 	established bool      // a request was completed or answered
 	listEntry   listEntry // owned by the connTable
 
--- a/internal/frontend/fastcgi/request.go
+++ b/internal/frontend/fastcgi/request.go
@@ -18,7 +18,7 @@
 // Reasons for rejecting a request. They appear in the log.
 var (
 	errRequestTimeout   = errors.New("timed out waiting for the complete request")
-	errBuffersReclaimed = errors.New("incomplete request dropped to free its buffers")
+	errMemoryReclaimed  = errors.New("incomplete request dropped to free its memory")
 	errParamsTooLong    = errors.New("parameters too long")
 	errBodyBeforeParams = errors.New("body ended before the parameters were complete")
 )
@@ -39,6 +39,10 @@
 	call           dispatch.Call // set once the parameters are complete, until the request is submitted
 	bodyLength     bodyLength    // set once the parameters are complete
 
+	reserved        int  // memory reserved in the pool besides the buffers, in bytes
+	incompleteBytes int  // memory of the request while it is not complete, in bytes
+	released        bool // release was called: the request has ended
+
 	begunAt           time.Duration
 	incompleteElement *list.Element  // in Server.incomplete; nil once the request is complete
 	timer             deadline.Timer // limits the wait for the rest of the request
@@ -65,10 +69,11 @@
 	}
 	req.timer.Fire = func() { req.reject(http.StatusRequestTimeout, errRequestTimeout) }
 	server.loop.SetDeadline(&req.timer, server.loop.Now()+requestTimeout)
-	req.params = server.borrowBuffer(req)
-	if req.params == nil || len(c.requests) > maxRequestsPerConn {
+	if len(c.requests) > maxRequestsPerConn || !req.reserveRecord() {
 		req.shed()
+		return nil
 	}
+	req.countIncomplete()
 	return nil
 }
 
@@ -97,14 +102,23 @@
 func (r *request) handleParams(part recordPart) {
 	switch {
 	case part.contentLen > 0:
-		if !r.params.Append(part.content) {
-			r.reject(http.StatusRequestHeaderFieldsTooLarge, errParamsTooLong)
-		}
+		r.appendParams(part.content)
 	case part.last:
 		r.completeParams()
 	}
 }
 
+// appendParams appends content to the parameters.
+func (r *request) appendParams(content []byte) {
+	err := r.appendTo(r.params, content)
+	switch {
+	case errors.Is(err, bufferpool.ErrTooLong):
+		r.reject(http.StatusRequestHeaderFieldsTooLarge, errParamsTooLong)
+	case err != nil:
+		r.shed()
+	}
+}
+
 // completeParams parses the parameters and releases them. It rejects an invalid request.
 func (r *request) completeParams() {
 	server := r.conn.server
@@ -112,11 +126,15 @@
 	parsed, err := parseFields(r.params.B, server.rules.paramSlots())
 	server.pool.Put(r.params)
 	r.params = nil
+	r.countIncomplete()
 	if err == nil {
 		err = r.applyParams(&parsed)
 	}
-	if err != nil {
+	switch {
+	case err != nil:
 		r.reject(http.StatusBadRequest, err)
+	case r.call.Affinity != "" && !r.reserveAffinity():
+		r.shed()
 	}
 }
 
@@ -152,14 +170,18 @@
 // appendBody appends content to the body.
 func (r *request) appendBody(content []byte) {
 	if r.body == nil {
-		r.body = r.conn.server.borrowBuffer(r)
+		r.body = r.getBuffer()
 	}
 	if r.body == nil {
 		r.shed()
 		return
 	}
-	if !r.body.Append(content) {
+	err := r.appendTo(r.body, content)
+	switch {
+	case errors.Is(err, bufferpool.ErrTooLong):
 		r.reject(http.StatusRequestEntityTooLarge, fmt.Errorf("body over %d bytes", bufferpool.Size))
+	case err != nil:
+		r.shed()
 	}
 }
 
@@ -194,6 +216,10 @@
 	r.call.Body = r.body
 	// The budget starts when the last byte of the request arrives, so the time until it was read counts.
 	r.call.TimeLeft = max(r.call.TimeLeft-r.conn.unreadTime, 0)
+	if !server.makeRoom(r, dispatch.MemoryFor(&r.call)) {
+		r.shed()
+		return
+	}
 	ref, err := server.dispatcher.Submit(r.call, server, r.ref)
 	if errors.Is(err, dispatch.ErrTooManyRequests) {
 		r.shed()
@@ -207,6 +233,7 @@
 	r.body = nil             // owned by the dispatcher now
 	r.call = dispatch.Call{} // likewise
 	server.incomplete.remove(r)
+	r.countIncomplete()
 	server.loop.ClearDeadline(&r.timer)
 	r.conn.markEstablished()
 }
@@ -225,15 +252,3 @@
 		server.dispatcher.Cancel(r.submitted)
 	}
 }
-
-// release frees the resources of the request. Repeated calls have no effect.
-func (r *request) release() {
-	server := r.conn.server
-	server.incomplete.remove(r)
-	server.loop.ClearDeadline(&r.timer)
-	server.requests.Remove(r.ref)
-	server.pool.Put(r.params)
-	server.pool.Put(r.body)
-	r.params = nil
-	r.body = nil
-}
--- a/internal/frontend/fastcgi/server.go
+++ b/internal/frontend/fastcgi/server.go
@@ -65,7 +65,7 @@
 // Options holds the settings and limits of a Server.
 type Options struct {
 	Deployment     *deployment.Settings
-	Buffers        *bufferpool.Pool   // holds request parameters and bodies
+	Buffers        *bufferpool.Pool   // limits the memory of requests, and holds their parameters and bodies
 	MaxConns       int                // limit on client connections
 	MaxUnsentBytes int                // limit on unsent bytes for all clients together
 	Log            logrus.FieldLogger // for events of clients and their connections
