Make the bounds on what peers can make the scheduler hold add up

What would be seen: requests that never end, new functions, answers that nobody reads and incomplete responses of node agents at the same time took a scheduler of 32 MB and 256 descriptors over its limit, though each was within its bound.

Cause: the shares added up to more than memory_mb with what buffers take beyond their contents. Unsent answers were counted by their length. gnet keeps each write that the system does not take in a buffer of its own, of at least 48 bytes for an END_REQUEST record of 16, and lists all of them whenever it sends; its ring buffers never shrink and are handed on. Unsent calls to node agents had a bound for each connection only.

Change: outbound.Write buffers 1 KiB at a time at most, and short records behind unsent ones are collected until they are as long, or for 2 ms; so unsent bytes take one and a half times their number and 4 KiB a connection at most, which is what the limits count now (an eighth of memory_mb for clients, a 32nd for node agents). resourceLimits.boundedMemory adds up all shares: 22.9 to 25.0 MB of 32, 134 to 136 MB of 192; 'resource usage' shows it as bound.

TestShortAnswersBehindUnsent checks that nothing stays behind or is lost.

--- a/cmd/calicohill/limits.go
+++ b/cmd/calicohill/limits.go
@@ -10,29 +10,36 @@
 	// minDialDescriptors is the minimum number of descriptors for dials to workers, in addition to those for
 	// established connections.
 	minDialDescriptors = 2
+	// connsDivisor grants clients and workers a third of the descriptors each.
+	connsDivisor = 3
 	// minAnswerBytes and maxAnswerBytes bound the length limit for a worker's answer.
 	minAnswerBytes = 64 << 10
 	maxAnswerBytes = 1 << 20
+
+	bytesPerMB = 1 << 20
 )
 
-// Shares of the memory and of the descriptors that the platform grants, as divisors.
+// Shares of the memory that the platform grants, as divisors. Together they leave room for the garbage collector and
+// for what connections take besides (see resourceLimits.boundedMemory).
 const (
-	connsDivisor         = 3 // one third of the descriptors for clients and one third for workers
 	reserveDivisor       = 4 // reserve for memory that the Go runtime does not account for
 	requestMemoryDivisor = 4
 	// functionMemoryDivisor limits the memory for functions that clients have named and that are not in use.
 	functionMemoryDivisor = 8
 	// endedCallMemoryDivisor limits the memory for the IDs of calls that ended recently.
 	endedCallMemoryDivisor = 32
-	unsentBytesDivisor     = 8
-	// answerBytesDivisor limits the length of an answer: a quarter of the memory, divided by the connections to workers.
-	answerBytesDivisor = 4
+	// unsentMemoryDivisor and agentUnsentMemoryDivisor limit the memory for what clients and node agents do not read.
+	unsentMemoryDivisor      = 8
+	agentUnsentMemoryDivisor = 32
 	// responseMemoryDivisor limits the memory for answers that workers have sent in part, on all connections.
 	responseMemoryDivisor = 10
-
-	bytesPerMB = 1 << 20
+	// answerBytesDivisor limits the length of an answer: a quarter of the memory, divided by the connections to workers.
+	answerBytesDivisor = 4
 )
 
+// connBytes is the memory for the records of a connection.
+const connBytes = 4 << 10
+
 // resourceLimits holds the limits of the parts of a scheduler, which share the memory and the descriptors that the
 // platform grants.
 type resourceLimits struct {
@@ -40,7 +47,8 @@
 	requestMemory     int   // memory for open requests and their buffers, in bytes
 	functionMemory    int   // memory for records of functions, in bytes
 	endedCallMemory   int   // memory for IDs of calls that ended recently, in bytes
-	unsentBytes       int   // total length of answers that clients have not read
+	unsentMemory      int   // memory for answers that clients have not read, in bytes
+	agentUnsentMemory int   // memory for calls that node agents have not read, in bytes
 	answerBytes       int   // length of a single answer from a worker
 	responseMemory    int   // memory for answers that workers have sent in part, in bytes
 	clientConns       int
@@ -57,7 +65,8 @@
 		requestMemory:     memory / requestMemoryDivisor,
 		functionMemory:    memory / functionMemoryDivisor,
 		endedCallMemory:   memory / endedCallMemoryDivisor,
-		unsentBytes:       memory / unsentBytesDivisor,
+		unsentMemory:      memory / unsentMemoryDivisor,
+		agentUnsentMemory: memory / agentUnsentMemoryDivisor,
 		responseMemory:    memory / responseMemoryDivisor,
 		clientConns:       conns,
 		workerConns:       conns,
@@ -65,3 +74,10 @@
 		answerBytes:       min(max(memory/answerBytesDivisor/conns, minAnswerBytes), maxAnswerBytes),
 	}
 }
+
+// boundedMemory returns the memory that peers can make the scheduler hold if they exhaust all limits at the same time,
+// in bytes.
+func (l *resourceLimits) boundedMemory() int {
+	return l.requestMemory + l.functionMemory + l.endedCallMemory + l.unsentMemory + l.agentUnsentMemory + l.responseMemory +
+		connBytes*(l.clientConns+l.workerConns)
+}
--- a/cmd/calicohill/scheduler.go
+++ b/cmd/calicohill/scheduler.go
@@ -125,17 +125,18 @@
 		MaxConns:         limits.workerConns,
 		MaxDescriptors:   limits.workerDescriptors,
 		MaxResponseBytes: limits.answerBytes,
+		UnsentMemory:     limits.agentUnsentMemory,
 		ResponseMemory:   limits.responseMemory,
 		EndedCallMemory:  limits.endedCallMemory,
 	}, s.loggers.Component("agent"))
 	s.dispatcher.SetWorkers(s.agents)
 	s.server = fastcgi.New(s.loop, s.dispatcher, fastcgi.Options{
-		Deployment:     deployment,
-		Buffers:        s.buffers,
-		MaxConns:       limits.clientConns,
-		MaxUnsentBytes: limits.unsentBytes,
-		Log:            s.loggers.Component("clients"),
-		RulesLog:       s.loggers.Component("rules"),
+		Deployment:      deployment,
+		Buffers:         s.buffers,
+		MaxConns:        limits.clientConns,
+		MaxUnsentMemory: limits.unsentMemory,
+		Log:             s.loggers.Component("clients"),
+		RulesLog:        s.loggers.Component("rules"),
 	})
 	s.applyRules(rules)
 }
--- a/cmd/calicohill/unread_answers_test.go
+++ b/cmd/calicohill/unread_answers_test.go
@@ -55,6 +55,26 @@
 	}
 }
 
+// Guards against short answers that are lost, or stay behind, because they were collected behind unsent ones.
+func TestShortAnswersBehindUnsent(t *testing.T) {
+	const shortAnswers = 50 // together less than the scheduler passes to the socket at a time
+	_, client, readAll := startWithUnreadAnswers(t, nil)
+	for range shortAnswers {
+		client.write(encodeRecord(unknownRecordType, 0, 0, ""))
+	}
+	client.waitUntilRead()
+	readAll()
+	for n := range shortAnswers {
+		if kind, _, _, err := client.readRecord(); kind != typeUnknownType || err != nil {
+			t.Fatalf("record %d of type %d, error %v, want type %d", n, kind, err, typeUnknownType)
+		}
+	}
+	client.send(newCall("consulta", "x", relaxedBudget))
+	if got := client.readAnswer(); got.body != "re:x" {
+		t.Errorf("status %d afterwards, want the request served", got.status)
+	}
+}
+
 // Guards against closing a connection after its last request before all answers on it are sent.
 func TestPartlyWrittenWithoutKeepConn(t *testing.T) {
 	_, client, readAll := startWithUnreadAnswers(t, func(request *clientRequest) { request.closeAfter = true })
--- a/cmd/calicohill/usage.go
+++ b/cmd/calicohill/usage.go
@@ -13,9 +13,11 @@
 	dispatched := s.dispatcher.Usage()
 	clients := s.server.Usage()
 	agents := s.agents.Usage()
+	limits := resourceLimitsOf(s.platform)
 	s.log.WithFields(logrus.Fields{
 		"heap":                memory.HeapAlloc,
 		"runtime":             memory.Sys - memory.HeapReleased,
+		"bound":               limits.boundedMemory(),
 		"functions":           dispatched.Routing.Functions,
 		"served_functions":    dispatched.Routing.ServedFunctions,
 		"function_bytes":      dispatched.Routing.FunctionBytes,
--- a/internal/frontend/fastcgi/connection.go
+++ b/internal/frontend/fastcgi/connection.go
@@ -31,6 +31,7 @@
 	requests   map[requestID]*request
 	parser     recordParser
 	control    []byte        // received content of a control record that is not complete; nil otherwise
+	waiting    []byte        // records that are not passed to the socket yet, less than outbound.PieceSize
 	unreadTime time.Duration // how long the latest bytes waited in the receive buffer
 
 	incompleteBytes int // memory of the requests that are not complete
@@ -54,7 +55,7 @@
 	if !c.server.draining || c.socket == nil || c.reading || c.awaitingInput || len(c.requests) > 0 {
 		return
 	}
-	if c.socket.OutboundBuffered() == 0 {
+	if c.UnsentBytes() == 0 {
 		c.close()
 	}
 }
@@ -130,7 +131,7 @@
 	}
 	now := c.server.loop.Now()
 	timedOut := c.lingerUntil > 0 && now >= c.lingerUntil
-	if timedOut || c.socket.OutboundBuffered() == 0 {
+	if timedOut || c.UnsentBytes() == 0 {
 		c.close()
 		return
 	}
@@ -151,7 +152,7 @@
 func (c *conn) Closed(gnet.Conn, error) {
 	server := c.server
 	c.socket = nil
-	server.unsent.remove(c)
+	server.unsent.Remove(c)
 	server.conns.remove(c)
 	c.awaitingInput = false
 	server.loop.ClearDeadline(&c.timer)
--- a/internal/frontend/fastcgi/connection_table.go
+++ b/internal/frontend/fastcgi/connection_table.go
@@ -102,7 +102,7 @@
 // It returns nil and 0 if there is none. A connection with unsent bytes is not idle: part of its response is missing.
 func oldestFlushed(conns *orderedList[*conn], now time.Duration) (*conn, time.Duration) {
 	for candidate := range conns.all() {
-		if candidate.socket.OutboundBuffered() == 0 {
+		if candidate.UnsentBytes() == 0 {
 			return candidate, now - candidate.listEntry.since
 		}
 	}
--- a/internal/frontend/fastcgi/response.go
+++ b/internal/frontend/fastcgi/response.go
@@ -67,27 +67,3 @@
 	r.release()
 	r.conn.endRequest(r, records)
 }
-
-// write writes records, which may have been built in the server's scratch buffer. It does nothing if the connection is
-// closed. It closes the connection if too many bytes are unsent because the client does not read.
-func (c *conn) write(records []byte) {
-	if c.socket == nil {
-		return
-	}
-	c.server.reuseScratch(records)
-	// After an error, gnet closes the connection and calls Closed.
-	_, _ = c.socket.Write(records)
-	if c.socket == nil {
-		return
-	}
-	unsent := c.socket.OutboundBuffered()
-	switch {
-	case unsent == 0:
-	case unsent > maxUnsentPerConn:
-		c.server.warn("client connection closed: client does not read", nil)
-		c.close()
-	default:
-		c.server.unsent.add(c)
-		c.server.limitUnsent()
-	}
-}
--- a/internal/frontend/fastcgi/server.go
+++ b/internal/frontend/fastcgi/server.go
@@ -10,6 +10,7 @@
 	"calicohill/internal/runtime/bufferpool"
 	"calicohill/internal/runtime/deadline"
 	"calicohill/internal/runtime/logging"
+	"calicohill/internal/runtime/outbound"
 	"calicohill/internal/runtime/slotmap"
 
 	"github.com/sirupsen/logrus"
@@ -40,22 +41,25 @@
 
 // Server serves client connections and the requests on them. It implements dispatch.Responder. All methods must be
 // called on the event loop. Separate components track the open connections (connTable), the requests that are not
-// complete (incompleteRequests) and the connections with unsent bytes (unsentConns).
+// complete (incompleteRequests) and the connections with unsent bytes (outbound.Tracker).
 type Server struct {
-	loop           Loop
-	dispatcher     Dispatcher
-	pool           *bufferpool.Pool
-	deployment     *deployment.Settings
-	classByName    map[string]int
-	maxUnsentBytes int // total for all clients
-	log            logging.RateLimited
-	rulesLog       logging.RateLimited
-	rules          *Rules // nil if there are none
+	loop            Loop
+	dispatcher      Dispatcher
+	pool            *bufferpool.Pool
+	deployment      *deployment.Settings
+	classByName     map[string]int
+	maxUnsentMemory int // for all clients, in bytes
+	log             logging.RateLimited
+	rulesLog        logging.RateLimited
+	rules           *Rules // nil if there are none
 
 	conns      connTable
 	incomplete incompleteRequests
 	requests   slotmap.Table[*request] // open requests
-	unsent     unsentConns
+	unsent     outbound.Tracker[*conn]
+
+	flushTimer     deadline.Timer
+	flushScheduled bool
 
 	draining     bool          // Drain was called
 	lastReceived time.Duration // when bytes were last received or a client last connected
@@ -64,28 +68,28 @@
 
 // Options holds the settings and limits of a Server.
 type Options struct {
-	Deployment     *deployment.Settings
-	Buffers        *bufferpool.Pool   // limits the memory of requests, and holds their parameters and bodies
-	MaxConns       int                // limit on client connections
-	MaxUnsentBytes int                // limit on unsent bytes for all clients together
-	Log            logrus.FieldLogger // for events of clients and their connections
-	RulesLog       logrus.FieldLogger // for events of the operator's rules
+	Deployment      *deployment.Settings
+	Buffers         *bufferpool.Pool   // limits the memory of requests, and holds their parameters and bodies
+	MaxConns        int                // limit on client connections
+	MaxUnsentMemory int                // limit on the memory for unsent bytes of all clients together, in bytes
+	Log             logrus.FieldLogger // for events of clients and their connections
+	RulesLog        logrus.FieldLogger // for events of the operator's rules
 }
 
 // New returns a Server without connections.
 func New(loop Loop, dispatcher Dispatcher, options Options) *Server {
 	server := &Server{
-		loop:           loop,
-		dispatcher:     dispatcher,
-		pool:           options.Buffers,
-		deployment:     options.Deployment,
-		classByName:    map[string]int{},
-		maxUnsentBytes: options.MaxUnsentBytes,
-		log:            logging.RateLimited{Log: options.Log},
-		rulesLog:       logging.RateLimited{Log: options.RulesLog},
-		conns:          connTable{maxConns: options.MaxConns, open: map[*conn]struct{}{}},
-		unsent:         unsentConns{conns: map[*conn]struct{}{}},
+		loop:            loop,
+		dispatcher:      dispatcher,
+		pool:            options.Buffers,
+		deployment:      options.Deployment,
+		classByName:     map[string]int{},
+		maxUnsentMemory: options.MaxUnsentMemory,
+		log:             logging.RateLimited{Log: options.Log},
+		rulesLog:        logging.RateLimited{Log: options.RulesLog},
+		conns:           connTable{maxConns: options.MaxConns, open: map[*conn]struct{}{}},
 	}
+	server.flushTimer.Fire = server.flush
 	for class, name := range options.Deployment.ClassNames {
 		server.classByName[name] = class
 	}
--- a/internal/frontend/fastcgi/unsent.go
+++ b/internal/frontend/fastcgi/unsent.go
@@ -1,52 +1,106 @@
 package fastcgi
 
+import (
+	"time"
+
+	"calicohill/internal/runtime/outbound"
+)
+
 const (
 	// maxUnsentPerConn is the maximum number of unsent bytes on a connection. A client above it counts as not reading.
 	maxUnsentPerConn = 4 << 20
+	// flushInterval is the interval at which short records that wait behind unsent bytes are passed to the socket.
+	flushInterval = 2 * time.Millisecond
 )
 
-// unsentConns tracks the connections that may have bytes that the kernel has not accepted yet. It belongs to a Server
-// and is used only on the event loop. Server.limitUnsent keeps the total within Options.MaxUnsentBytes.
-type unsentConns struct{ conns map[*conn]struct{} }
+// UnsentBytes implements outbound.Conn.
+func (c *conn) UnsentBytes() int { return c.socket.OutboundBuffered() + len(c.waiting) }
 
-// add adds a connection that has unsent bytes.
-func (u *unsentConns) add(c *conn) { u.conns[c] = struct{}{} }
-
-// remove removes a closed connection.
-func (u *unsentConns) remove(c *conn) { delete(u.conns, c) }
+// write writes records, which may have been built in the server's scratch buffer. It does nothing if the connection is
+// closed. It closes the connection if too many bytes are unsent because the client does not read.
+func (c *conn) write(records []byte) {
+	if c.socket == nil {
+		return
+	}
+	c.server.reuseScratch(records)
+	c.writeInOrder(records)
+	if c.socket == nil {
+		return
+	}
+	unsent := c.UnsentBytes()
+	switch {
+	case unsent == 0:
+	case unsent > maxUnsentPerConn:
+		c.server.warn("client connection closed: client does not read", nil)
+		c.close()
+	default:
+		c.server.unsent.Add(c)
+		c.server.limitUnsent()
+	}
+}
 
-// bytes returns the total number of unsent bytes. It removes connections that have none left.
-func (u *unsentConns) bytes() int {
-	total := 0
-	for c := range u.conns {
-		unsent := c.socket.OutboundBuffered()
-		if unsent == 0 {
-			delete(u.conns, c)
+// writeInOrder writes records behind those that wait. Behind unsent bytes, short records are collected: each write takes
+// a buffer of its own, which may be several times as large as an END_REQUEST record.
+func (c *conn) writeInOrder(records []byte) {
+	if len(records) < outbound.PieceSize && c.UnsentBytes() > 0 {
+		c.waiting = append(c.waiting, records...)
+		if len(c.waiting) >= outbound.PieceSize {
+			c.writeWaiting()
+		} else {
+			c.server.startFlushTimer()
 		}
-		total += unsent
+		return
+	}
+	c.writeWaiting()
+	if c.socket != nil {
+		// After an error, gnet closes the connection and calls Closed.
+		_, _ = outbound.Write(c.socket, records)
 	}
-	return total
 }
 
-// slowestReader returns the connection with the most unsent bytes, or nil if there is none.
-func (u *unsentConns) slowestReader() *conn {
-	var slowest *conn
-	for c := range u.conns {
-		if slowest == nil || c.socket.OutboundBuffered() > slowest.socket.OutboundBuffered() {
-			slowest = c
-		}
+// writeWaiting passes the collected records to the socket.
+func (c *conn) writeWaiting() {
+	if len(c.waiting) == 0 {
+		return
 	}
-	return slowest
+	records := c.waiting
+	c.waiting = nil
+	_, _ = outbound.Write(c.socket, records)
+}
+
+// startFlushTimer schedules flush if it is not scheduled yet.
+func (s *Server) startFlushTimer() {
+	if !s.flushScheduled {
+		s.flushScheduled = true
+		s.loop.SetDeadline(&s.flushTimer, s.loop.Now()+flushInterval)
+	}
+}
+
+// flush passes collected records to the sockets that have sent almost all else.
+func (s *Server) flush() {
+	s.flushScheduled = false
+	s.unsent.All(func(c *conn) {
+		if len(c.waiting) > 0 && c.socket.OutboundBuffered() < outbound.PieceSize {
+			c.writeWaiting()
+		}
+		if len(c.waiting) > 0 {
+			s.startFlushTimer()
+		}
+	})
 }
 
 // UnsentBytes returns the number of bytes that are buffered for clients and not sent yet.
-func (s *Server) UnsentBytes() int { return s.unsent.bytes() }
+func (s *Server) UnsentBytes() int { return s.unsent.Bytes() }
 
-// limitUnsent closes connections, the one with the most unsent bytes first, until the total for all clients is within
-// maxUnsentBytes.
+// limitUnsent closes connections, the one with the most unsent bytes first, until the memory of all unsent bytes is
+// within maxUnsentMemory.
 func (s *Server) limitUnsent() {
-	for s.UnsentBytes() > s.maxUnsentBytes {
+	for s.unsent.Memory() > s.maxUnsentMemory {
+		slowest, ok := s.unsent.Largest()
+		if !ok {
+			return
+		}
 		s.warn("client connection closed: too many unsent bytes for all clients", nil)
-		s.unsent.slowestReader().close()
+		slowest.close()
 	}
 }
--- a/internal/nodeagent/connection.go
+++ b/internal/nodeagent/connection.go
@@ -76,6 +76,7 @@
 	pool, target := c.pool, c.target
 	c.socket = nil
 	c.releasePartial()
+	pool.unsent.Remove(c)
 	pool.dialer.closed(c)
 	pool.loop.ClearDeadline(&c.idleTimer)
 	pool.loop.ClearDeadline(&c.partialResponseTimer)
--- a/internal/nodeagent/connection_write.go
+++ b/internal/nodeagent/connection_write.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"calicohill/internal/runtime/outbound"
 	"calicohill/routing"
 )
 
@@ -45,9 +46,10 @@
 	c.lastWriteAt = now
 	// The call is added to the pipeline only after the write, because Closed, which a failed write calls, must not end
 	// it. The outbound buffer is empty before the write, so an error with no byte written means that nothing was sent.
-	written, err := c.socket.Write(pool.commands.start(outgoing))
+	written, err := outbound.Write(c.socket, pool.commands.start(outgoing))
 	if err == nil {
 		c.calls.add(outgoing)
+		c.limitUnsent()
 		return
 	}
 	if written != 0 {
@@ -65,11 +67,41 @@
 // writeControl writes a command that has no response. It closes the connection if the agent does not read.
 func (c *conn) writeControl(command []byte) {
 	// After an error, gnet closes the connection and calls Closed.
-	_, err := c.socket.Write(command)
-	if err == nil && c.socket != nil && c.socket.OutboundBuffered() > maxOutboundBytes {
-		c.pool.log.WithField("worker", c.target.id).Warn("agent connection closed: agent does not read")
-		c.close()
+	_, err := outbound.Write(c.socket, command)
+	if err != nil || c.socket == nil {
+		return
+	}
+	if c.UnsentBytes() > maxOutboundBytes {
+		c.closeUnread()
+		return
+	}
+	c.limitUnsent()
+}
+
+// UnsentBytes implements outbound.Conn.
+func (c *conn) UnsentBytes() int { return c.socket.OutboundBuffered() }
+
+// limitUnsent closes connections, the one with the most unsent bytes first, if the connection has unsent bytes and the
+// memory for those of all connections is above its limit.
+func (c *conn) limitUnsent() {
+	pool := c.pool
+	if pool.options.UnsentMemory == 0 || c.UnsentBytes() == 0 {
+		return
 	}
+	pool.unsent.Add(c)
+	for pool.unsent.Memory() > pool.options.UnsentMemory {
+		largest, ok := pool.unsent.Largest()
+		if !ok {
+			return
+		}
+		largest.closeUnread()
+	}
+}
+
+// closeUnread closes the connection because the agent does not read.
+func (c *conn) closeUnread() {
+	c.pool.log.WithField("worker", c.target.id).Warn("agent connection closed: agent does not read")
+	c.close()
 }
 
 // countUnansweredCancel counts a canceled call if nothing was received since the call was written. It drains the
--- a/internal/nodeagent/pool.go
+++ b/internal/nodeagent/pool.go
@@ -21,6 +21,7 @@
 	"calicohill/internal/runtime/deadline"
 	"calicohill/internal/runtime/eventloop"
 	"calicohill/internal/runtime/localfault"
+	"calicohill/internal/runtime/outbound"
 	"calicohill/internal/runtime/slotmap"
 	"calicohill/routing"
 
@@ -53,6 +54,7 @@
 	MaxConns         int           // limit on connections to all workers
 	MaxDescriptors   int           // limit on file descriptors for connections and dials; a dial uses two temporarily
 	MaxResponseBytes int           // limit on the body of a response
+	UnsentMemory     int           // limit on the memory for bytes that agents have not read; 0 means none
 	ResponseMemory   int           // limit on the memory for incomplete responses, in bytes; 0 means none
 	EndedCallMemory  int           // limit on the memory for IDs of ended calls, in bytes; 0 means none
 	Schedulers       int           // number of schedulers that share the workers
@@ -69,6 +71,7 @@
 	calls     callTable
 	ended     endedCalls
 	responses responseMemory
+	unsent    outbound.Tracker[*conn]
 	dialer    dialer
 	idle      idlePolicy
 	commands  commandBuffer
--- a/internal/runtime/eventloop/event_loop.go
+++ b/internal/runtime/eventloop/event_loop.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"calicohill/internal/runtime/deadline"
+	"calicohill/internal/runtime/outbound"
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/panjf2000/gnet/v2/pkg/logging"
@@ -101,7 +102,7 @@
 	}
 	l.acceptor = newAcceptor(listener, l.registerAccepted, l.acceptFailed)
 	// A gnet client runs an event loop without accepting connections itself.
-	client, err := gnet.NewClient(l, gnet.WithNumEventLoop(1), gnet.WithLogger(l.Logger))
+	client, err := gnet.NewClient(l, gnet.WithNumEventLoop(1), gnet.WithWriteBufferCap(outbound.PieceSize), gnet.WithLogger(l.Logger))
 	if err == nil {
 		err = client.Start()
 	}
