--- a/cmd/calicohill/all_floods_test.go
+++ b/cmd/calicohill/all_floods_test.go
@@ -41,7 +41,7 @@
 	relaxLatencyLimits(sched)
 	targets := []string{"sound SERVING " + sound.addr}
 	for i := range sched.maxSockets / connsDivisor {
-		targets = append(targets, fmt.Sprintf("w%d SERVING %s", i, newStallingAgent(t)))
+		targets = append(targets, fmt.Sprintf("w%d SERVING %s", i, listenForEach(t, stall)))
 	}
 	sched.addEvent(true, targets...)
 	sched.start()
--- a/cmd/calicohill/harness_agent_test.go
+++ b/cmd/calicohill/harness_agent_test.go
@@ -61,6 +61,27 @@
 	return agent
 }
 
+// listenForEach starts a node agent that calls serve for each connection, on a goroutine of its own, until the end of
+// the test. It returns the agent's address.
+func listenForEach(t *testing.T, serve func(net.Conn)) (addr string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // listeningAgent returns an agent that does not accept connections yet.
 func listeningAgent(t *testing.T, listener net.Listener, reply func(n int, request agentRequest) string) *nodeAgent {
 	t.Helper()
--- a/cmd/calicohill/partial_responses_test.go
+++ b/cmd/calicohill/partial_responses_test.go
@@ -17,28 +17,8 @@
 	partialPieceDelay = 10 * time.Millisecond
 )
 
-// newStallingAgent starts a node agent that answers the first command on each connection with a response that never
-// ends, in two pieces. It returns the agent's address.
-func newStallingAgent(t *testing.T) (addr string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go stall(conn)
-		}
-	}()
-	return listener.Addr().String()
-}
-
-// stall answers a command with a partial response and then reads until the scheduler closes the connection.
+// stall serves a connection of a node agent: it answers the first command with a response that never ends, in two
+// pieces, and then reads until the scheduler closes the connection.
 func stall(conn net.Conn) {
 	defer conn.Close()
 	if _, err := conn.Read(make([]byte, 1)); err != nil {
@@ -67,7 +47,7 @@
 		t.Errorf("status %d for a request to the sound worker, want it served", got.status)
 	}
 	for i := range partialAgents {
-		targets = append(targets, fmt.Sprintf("w%d SERVING %s", i, newStallingAgent(t)))
+		targets = append(targets, fmt.Sprintf("w%d SERVING %s", i, listenForEach(t, stall)))
 	}
 	sched.addEvent(true, targets...)
 	waitUntil(t, "the second list is applied", func() bool { return strings.Contains(sched.log.String(), "event=2 ") })
--- a/cmd/calicohill/requests_test.go
+++ b/cmd/calicohill/requests_test.go
@@ -109,22 +109,8 @@
 // Guards against requests and answers that are not reassembled when they arrive a byte at a time. The bytes of two
 // clients alternate.
 func TestFragments(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go echoByteByByte(conn)
-		}
-	}()
 	sched := newTestScheduler(t)
-	sched.addEvent(true, "a SERVING "+listener.Addr().String())
+	sched.addEvent(true, "a SERVING "+listenForEach(t, echoByteByByte))
 	sched.start()
 	clientA, clientB := sched.connect(), sched.connect()
 	first, second := newCall("certificado", "the first").bytes(), newCall("certificado", "the second").bytes()
