Notice a stall that begins while a timer fires

Cause: the loop notices a stall by its wakeup timer, and wakeupAt was 0 from the moment that timer had fired until all due timers had been handled. A process that was stopped in between fired its overdue timers later without reporting the stall, so that the list was not held for out of date.

Change: a callback that ends with timers overdue notes since when they are, unless a stall was reported since, and the next callback compares the clock with that.

Evidence: TestStallWithinTimerIsReported failed before, the stall was never reported; it passes 20 times.

--- a/internal/runtime/eventloop/event_loop.go
+++ b/internal/runtime/eventloop/event_loop.go
@@ -63,7 +63,8 @@
 
 	timers      deadline.Queue
 	wakeup      *time.Timer   // wakes the loop for the earliest timer
-	wakeupAt    time.Duration // when wakeup expires; 0 if it is not set
+	wakeupAt    time.Duration // when wakeup expires or the overdue timers were due; 0 if neither is known
+	stalledAt   time.Duration // when the last stall was noticed
 	firePending bool          // fireDueTimers is posted and has not run yet
 }
 
--- a/internal/runtime/eventloop/event_loop_test.go
+++ b/internal/runtime/eventloop/event_loop_test.go
@@ -195,3 +195,25 @@
 		t.Errorf("called %q, want %q", got, want)
 	}
 }
+
+// Guards against a stall that is not noticed because the process was stopped while a timer fired. After it, requests
+// were sent by an endpoint list that was out of date.
+func TestStallWithinTimerIsReported(t *testing.T) {
+	loop := eventloop.New()
+	loop.StallThreshold = 20 * time.Millisecond
+	calls := make(chan string, 3)
+	loop.Stalled = func() { calls <- "stalled" }
+	startLoop(t, loop, nil)
+	loop.Post(func() {
+		stall := func() {
+			loop.Post(func() { calls <- "request" }) // arrives during the stall
+			time.Sleep(10 * loop.StallThreshold)
+		}
+		loop.SetDeadline(&deadline.Timer{Fire: stall}, loop.Now()+time.Millisecond)
+		loop.SetDeadline(&deadline.Timer{Fire: func() { calls <- "timer" }}, loop.Now()+2*time.Millisecond+loop.StallThreshold)
+	})
+	got := []string{receive(t, calls), receive(t, calls), receive(t, calls)}
+	if want := []string{"stalled", "request", "timer"}; !slices.Equal(got, want) {
+		t.Errorf("called %q, want %q", got, want)
+	}
+}
--- a/internal/runtime/eventloop/timers.go
+++ b/internal/runtime/eventloop/timers.go
@@ -18,8 +18,12 @@
 // beforeCallback runs before each callback. It detects a stall, in which the wakeup timer is overdue by more than
 // StallThreshold.
 func (l *Loop) beforeCallback() {
-	if l.wakeupAt > 0 && l.Stalled != nil && l.Now() > l.wakeupAt+l.StallThreshold {
+	if l.wakeupAt == 0 || l.Stalled == nil {
+		return
+	}
+	if now := l.Now(); now > l.wakeupAt+l.StallThreshold {
 		l.wakeupAt = 0
+		l.stalledAt = now
 		l.Stalled()
 	}
 }
@@ -37,6 +41,9 @@
 	now := l.Now()
 	if earliest <= now {
 		l.firePending = true
+		if l.wakeupAt == 0 && earliest > l.stalledAt {
+			l.wakeupAt = earliest // so that the next callback notices a stall within this one
+		}
 		l.Post(l.fireDueTimers)
 		return
 	}
@@ -50,16 +57,14 @@
 // practice.
 func (l *Loop) startWakeupTimer() {
 	l.wakeup = time.AfterFunc(initialWakeup, func() {
-		l.Post(func() {
-			l.wakeupAt = 0
-			l.fireDueTimers()
-		})
+		l.Post(l.fireDueTimers)
 	})
 }
 
-// fireDueTimers fires the timers that are due, earliest first.
+// fireDueTimers fires the timers that are due, earliest first. afterCallback sets the wakeup timer again.
 func (l *Loop) fireDueTimers() {
 	l.firePending = false
+	l.wakeupAt = 0
 	now := l.Now()
 	for timer := l.timers.PopDue(now); timer != nil; timer = l.timers.PopDue(now) {
 		timer.Fire()
